--- /dev/null
+++ b/bench/load/load.cc
@@ -0,0 +1,204 @@
+#include "load.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <cmath>
+#include <memory>
+#include <pcg_random.hpp>
+#include <random>
+#include <utility>
+
+#include "hemlockpoint/entry/caller_request.h"
+#include "hemlockpoint/http/client.h"
+#include "hemlockpoint/runtime/await.h"
+#include "hemlockpoint/runtime/fiber_event.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr std::size_t kMaxConnections = 4000;
+constexpr Millis kConnectTimeout(1000);
+constexpr unsigned kOk = 200;
+// A request ends by its deadline; the rest is for a late answer.
+constexpr Millis kGrace(2000);
+constexpr double kMillisPerSecond = 1000;
+
+using Pools = std::map<Endpoint, std::unique_ptr<HttpClientPool>>;
+
+// A timer of the event loop is finer than the fibers' own sleep.
+void SleepUntil(FiberLoop& loop, Millis when) {
+  const Millis left = when - SteadyNow();
+  if (left <= Millis(0)) {
+    return;
+  }
+  boost::asio::steady_timer timer(loop.io(), ToChrono(left));
+  (void)AwaitIo([&](auto handler) {
+    timer.async_wait(
+        [handler = std::move(handler)](
+            boost::system::error_code error) mutable { handler(error, 0); });
+  });
+}
+
+struct Run {
+  FiberLoop& m_loop;
+  Pools m_pools;
+  std::uint64_t m_seed;
+  Millis m_begin;
+  std::size_t m_open = 0;
+  FiberEvent m_ended;
+};
+
+HttpRequestHead MakeHead(const StreamSpec& spec,
+                         std::uint64_t number,
+                         std::uint64_t seed) {
+  HttpRequestHead head;
+  head.m_method = spec.m_method;
+  head.m_path = spec.m_path;
+  if (spec.m_distinct) {
+    head.m_path += spec.m_path.find('?') == std::string::npos ? '?' : '&';
+    head.m_path += "n=" + std::to_string(number);
+  }
+  head.m_headers.push_back({"Host", spec.m_service});
+  head.m_headers.push_back(
+      {field::kDeadline, std::to_string(spec.m_deadline.value())});
+  if (!spec.m_caller.empty()) {
+    head.m_headers.push_back({field::kCaller, spec.m_caller});
+  }
+  if (!spec.m_token.empty()) {
+    head.m_headers.push_back({field::kAuthorization, "Bearer " + spec.m_token});
+  }
+  if (spec.m_keyed) {
+    head.m_headers.push_back(
+        {field::kIdempotencyKey, spec.m_name + "-" + std::to_string(seed) +
+                                     "-" + std::to_string(number)});
+  }
+  return head;
+}
+
+// Sends one attempt; returns "" for a good answer, or how it ended.
+std::string SendOnce(HttpClientPool& pool,
+                     const HttpRequestHead& head,
+                     const std::string& body) {
+  auto call = pool.Open(kConnectTimeout);
+  if (!call) {
+    return "not_connected";
+  }
+  if (!(*call)->SendHead(head, body, true)) {
+    return "connection_lost";
+  }
+  const auto answer = (*call)->ReadHead();
+  if (!answer) {
+    return "connection_lost";
+  }
+  while (true) {
+    const auto bytes = (*call)->ReadBody();
+    if (!bytes) {
+      return "answer_cut_off";
+    }
+    if (bytes->empty()) {
+      break;
+    }
+  }
+  if (answer->m_status == kOk) {
+    return "";
+  }
+  const auto reason = FindHeader(answer->m_headers, field::kReason);
+  return reason ? std::string(*reason) : std::to_string(answer->m_status);
+}
+
+void RecordGood(StreamResult& result, Millis planned, Millis begin) {
+  ++result.m_good;
+  result.m_latencies.push_back((SteadyNow() - planned).value());
+  const auto bucket =
+      static_cast<std::size_t>((planned - begin) / kBucketWidth);
+  if (result.m_good_by_bucket.size() <= bucket) {
+    result.m_good_by_bucket.resize(bucket + 1);
+  }
+  ++result.m_good_by_bucket[bucket];
+}
+
+void SendRequest(Run& run,
+                 const StreamSpec& spec,
+                 StreamResult& result,
+                 std::uint64_t number,
+                 Millis planned) {
+  const Endpoint& entry = spec.m_entries[number % spec.m_entries.size()];
+  const HttpRequestHead head = MakeHead(spec, number, run.m_seed);
+  const std::string body(spec.m_body_bytes, 'b');
+  std::string end;
+  for (unsigned attempt = 0; attempt <= spec.m_resends; ++attempt) {
+    ++result.m_attempts;
+    end = SendOnce(*run.m_pools.at(entry), head, body);
+    const bool in_time = SteadyNow() < planned + spec.m_deadline + kGrace;
+    if (end.empty() || !in_time) {
+      break;
+    }
+  }
+  if (end.empty()) {
+    RecordGood(result, planned, run.m_begin);
+  } else {
+    ++result.m_ends[end];
+  }
+}
+
+void RunStream(Run& run, const StreamSpec& spec, StreamResult& result) {
+  pcg64 random(run.m_seed);
+  std::exponential_distribution<double> gap(spec.m_per_second /
+                                            kMillisPerSecond);
+  Millis planned = run.m_begin + spec.m_start;
+  const Millis end = planned + spec.m_duration;
+  while (true) {
+    planned += Millis(gap(random));
+    if (planned >= end) {
+      return;
+    }
+    SleepUntil(run.m_loop, planned);
+    const std::uint64_t number = result.m_requests++;
+    ++run.m_open;
+    run.m_loop.Spawn([&run, &spec, &result, number, planned] {
+      SendRequest(run, spec, result, number, planned);
+      --run.m_open;
+      run.m_ended.Notify();
+    });
+  }
+}
+
+}  // namespace
+
+std::vector<StreamResult> RunLoad(FiberLoop& loop,
+                                  const std::vector<StreamSpec>& streams,
+                                  std::uint64_t seed) {
+  Run run{loop, {}, seed, SteadyNow(), 0, {}};
+  std::vector<StreamResult> results(streams.size());
+  for (const StreamSpec& spec : streams) {
+    for (const Endpoint& entry : spec.m_entries) {
+      run.m_pools[entry] =
+          std::make_unique<HttpClientPool>(loop.io(), entry, kMaxConnections);
+    }
+  }
+  for (std::size_t i = 0; i < streams.size(); ++i) {
+    ++run.m_open;
+    loop.Spawn([&run, &streams, &results, i] {
+      RunStream(run, streams[i], results[i]);
+      --run.m_open;
+      run.m_ended.Notify();
+    });
+  }
+  run.m_ended.Wait([&run] { return run.m_open == 0; });
+  for (StreamResult& result : results) {
+    std::sort(result.m_latencies.begin(), result.m_latencies.end());
+  }
+  return results;
+}
+
+double Quantile(const std::vector<double>& sorted, double share) {
+  if (sorted.empty()) {
+    return 0;
+  }
+  const double rank = std::ceil(share * static_cast<double>(sorted.size()));
+  const auto index = static_cast<std::size_t>(std::max(1.0, rank)) - 1;
+  return sorted[std::min(index, sorted.size() - 1)];
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/admission/admission.cc
@@ -0,0 +1,205 @@
+#include "hemlockpoint/admission/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hemlockpoint {
+
+namespace {
+
+// A shed class is offered again after about the time in which the threshold
+// can move across the offered load.
+constexpr Millis kShedRetryAfter(500);
+constexpr Millis kQueueRetryAfter(200);
+
+Refusal ShedRefusal(const AdmissionState& state, double rank) {
+  Refusal refusal = RefuseBySignal(
+      Reason::kShed, {"shed_threshold", rank, state.m_shed.m_threshold});
+  refusal.m_retry_after = kShedRetryAfter;
+  return refusal;
+}
+
+Refusal QueueRefusal(const AdmissionState& state, Reason reason) {
+  Refusal refusal = RefuseBySignal(
+      reason, {"queue_entries", static_cast<double>(state.m_queue.m_size),
+               static_cast<double>(state.m_queue_bound)});
+  refusal.m_retry_after = kQueueRetryAfter;
+  return refusal;
+}
+
+Refusal UnreachableRefusal(Millis expected, Millis left) {
+  Refusal refusal =
+      RefuseBySignal(Reason::kDeadlineUnreachable,
+                     {"expected_ms", expected.value(), left.value()});
+  refusal.m_retry_after = kQueueRetryAfter;
+  return refusal;
+}
+
+bool CannotFinish(const AdmissionState& state,
+                  const KindName& kind,
+                  Millis deadline,
+                  Millis now) {
+  return now + ExpectedDuration(state.m_durations, kind) > deadline;
+}
+
+std::size_t LongLimit(const AdmissionState& state, std::uint64_t limit) {
+  const double share = static_cast<double>(limit) * state.m_long_share;
+  return static_cast<std::size_t>(std::max(1.0, std::floor(share)));
+}
+
+bool MayRun(const AdmissionState& state,
+            const QueuedCall& call,
+            std::uint64_t limit) {
+  if (call.m_long && state.m_running_long >= LongLimit(state, limit)) {
+    return false;
+  }
+  return !call.m_suspect || state.m_running_suspects == 0;
+}
+
+double StallOf(const AdmissionState& state, Millis now) {
+  double sum = 0;
+  double count = 0;
+  for (const auto& [call, running] : state.m_running) {
+    const Millis normal = NormalDuration(state.m_durations, running.m_kind);
+    if (normal > Millis(0)) {
+      sum += (now - running.m_dispatched) / normal;
+      ++count;
+    }
+  }
+  return count > 0 ? sum / count : 1;
+}
+
+std::vector<DroppedCall> DropUnreachable(AdmissionState& state, Millis now) {
+  std::vector<DroppedCall> dropped;
+  const auto lost = DequeueIf(state.m_queue, [&](const QueuedCall& call) {
+    return CannotFinish(state, call.m_kind, call.m_deadline, now);
+  });
+  for (const QueuedCall& call : lost) {
+    RecordWait(state.m_shed, now - call.m_arrival);
+    const Millis expected = ExpectedDuration(state.m_durations, call.m_kind);
+    dropped.push_back(
+        {call.m_call, UnreachableRefusal(expected, call.m_deadline - now)});
+  }
+  return dropped;
+}
+
+}  // namespace
+
+std::vector<DroppedCall> Offer(AdmissionState& state,
+                               const OfferedCall& call,
+                               Millis now) {
+  const double rank = RankOf(call.m_class, call.m_root);
+  RecordOffered(state.m_shed, rank);
+  if (!state.m_pass_through) {
+    if (IsShed(state.m_shed, rank)) {
+      return {{call.m_call, ShedRefusal(state, rank)}};
+    }
+    if (CannotFinish(state, call.m_kind, call.m_deadline, now)) {
+      const Millis expected = ExpectedDuration(state.m_durations, call.m_kind);
+      return {
+          {call.m_call, UnreachableRefusal(expected, call.m_deadline - now)}};
+    }
+  }
+  QueuedCall queued;
+  queued.m_call = call.m_call;
+  queued.m_class = std::min(call.m_class, kMaxClasses - 1);
+  queued.m_rank = rank;
+  queued.m_arrival = now;
+  queued.m_deadline = call.m_deadline;
+  queued.m_kind = call.m_kind;
+  queued.m_long = call.m_long || IsLearnedLong(state.m_durations, call.m_kind);
+  queued.m_suspect = call.m_suspect;
+  const auto displaced =
+      Enqueue(state.m_queue, std::move(queued), state.m_queue_bound, now);
+  if (displaced) {
+    return {{displaced->m_call, QueueRefusal(state, Reason::kQueueFull)}};
+  }
+  return {};
+}
+
+DispatchStep Dispatch(AdmissionState& state, Millis now) {
+  DispatchStep step;
+  if (state.m_queue.m_size == 0) {
+    return step;
+  }
+  if (!state.m_pass_through) {
+    step.m_dropped = DropUnreachable(state, now);
+  }
+  const std::uint64_t limit = LimitNow(state.m_limit, now);
+  const auto may_run = [&](const QueuedCall& call) {
+    return state.m_pass_through || MayRun(state, call, limit);
+  };
+  while (state.m_pass_through || state.m_running.size() < limit) {
+    const auto next = DequeueNext(state.m_queue, may_run, now);
+    if (!next) {
+      break;
+    }
+    RecordWait(state.m_shed, now - next->m_arrival);
+    RunningCall running;
+    running.m_kind = next->m_kind;
+    running.m_dispatched = now;
+    running.m_long = next->m_long;
+    running.m_suspect = next->m_suspect;
+    state.m_running_long += next->m_long ? 1 : 0;
+    state.m_running_suspects += next->m_suspect ? 1 : 0;
+    state.m_running.emplace(next->m_call, running);
+    step.m_run.push_back(next->m_call);
+  }
+  return step;
+}
+
+std::vector<DroppedCall> AdvanceAdmission(AdmissionState& state, Millis now) {
+  if (state.m_pass_through) {
+    return {};
+  }
+  const bool busy = state.m_running.size() >= LimitNow(state.m_limit, now);
+  AdvanceLimit(state.m_limit, StallOf(state, now), now);
+  AdvanceShed(state.m_shed, OldestWait(state.m_queue, now), busy, now);
+  std::vector<DroppedCall> dropped = DropUnreachable(state, now);
+  const auto shed = DequeueIf(state.m_queue, [&](const QueuedCall& call) {
+    return IsShed(state.m_shed, call.m_rank);
+  });
+  for (const QueuedCall& call : shed) {
+    dropped.push_back({call.m_call, ShedRefusal(state, call.m_rank)});
+  }
+  return dropped;
+}
+
+void RecordAnswered(AdmissionState& state, CallId call, Millis now) {
+  const auto found = state.m_running.find(call);
+  if (found == state.m_running.end()) {
+    return;
+  }
+  const RunningCall& running = found->second;
+  RecordDuration(state.m_durations, running.m_kind, now - running.m_dispatched,
+                 now);
+  RecordCompletion(state.m_limit, Slowness(state.m_durations, running.m_kind));
+  RecordServed(state.m_shed);
+}
+
+void FinishCall(AdmissionState& state, CallId call) {
+  const auto found = state.m_running.find(call);
+  if (found == state.m_running.end()) {
+    return;
+  }
+  state.m_running_long -= found->second.m_long ? 1 : 0;
+  state.m_running_suspects -= found->second.m_suspect ? 1 : 0;
+  state.m_running.erase(found);
+}
+
+bool CancelQueued(AdmissionState& state, CallId call) {
+  return RemoveCall(state.m_queue, call);
+}
+
+std::vector<DroppedCall> DropQueued(AdmissionState& state, Reason reason) {
+  std::vector<DroppedCall> dropped;
+  const auto all =
+      DequeueIf(state.m_queue, [](const QueuedCall&) { return true; });
+  for (const QueuedCall& call : all) {
+    dropped.push_back({call.m_call, QueueRefusal(state, reason)});
+  }
+  return dropped;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/admission/call_queue.cc
@@ -0,0 +1,124 @@
+#include "hemlockpoint/admission/call_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockpoint {
+
+namespace {
+
+using Calls = std::vector<QueuedCall>;
+
+QueuedCall TakeAt(CallQueue& queue, Calls& calls, std::size_t index) {
+  QueuedCall taken = std::move(calls[index]);
+  // Order within a class is decided when a call is taken, not here.
+  if (index + 1 < calls.size()) {
+    calls[index] = std::move(calls.back());
+  }
+  calls.pop_back();
+  --queue.m_size;
+  return taken;
+}
+
+std::optional<std::size_t> LatestDeadline(const Calls& calls) {
+  const auto latest = std::max_element(
+      calls.begin(), calls.end(), [](const QueuedCall& a, const QueuedCall& b) {
+        return a.m_deadline < b.m_deadline;
+      });
+  if (latest == calls.end()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(latest - calls.begin());
+}
+
+bool GoesBefore(const QueuedCall& a, const QueuedCall& b, bool newest_first) {
+  if (newest_first) {
+    return a.m_arrival > b.m_arrival;
+  }
+  return a.m_deadline < b.m_deadline;
+}
+
+}  // namespace
+
+std::optional<QueuedCall> Enqueue(CallQueue& queue,
+                                  QueuedCall call,
+                                  std::size_t bound,
+                                  Millis now) {
+  if (queue.m_size == 0) {
+    queue.m_last_empty = now;
+  }
+  std::optional<QueuedCall> displaced;
+  if (queue.m_size >= bound) {
+    std::size_t last = kMaxClasses;
+    while (last > call.m_class + 1 && queue.m_classes[last - 1].empty()) {
+      --last;
+    }
+    if (last == call.m_class + 1) {
+      return call;
+    }
+    Calls& calls = queue.m_classes[last - 1];
+    displaced = TakeAt(queue, calls, *LatestDeadline(calls));
+  }
+  queue.m_classes[call.m_class].push_back(std::move(call));
+  ++queue.m_size;
+  return displaced;
+}
+
+std::optional<QueuedCall> DequeueNext(
+    CallQueue& queue,
+    const std::function<bool(const QueuedCall&)>& may_run,
+    Millis now) {
+  const bool newest_first = IsStanding(queue, now);
+  for (Calls& calls : queue.m_classes) {
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < calls.size(); ++i) {
+      if (may_run(calls[i]) &&
+          (!best || GoesBefore(calls[i], calls[*best], newest_first))) {
+        best = i;
+      }
+    }
+    if (best) {
+      return TakeAt(queue, calls, *best);
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<QueuedCall> DequeueIf(
+    CallQueue& queue,
+    const std::function<bool(const QueuedCall&)>& is_lost) {
+  std::vector<QueuedCall> taken;
+  for (Calls& calls : queue.m_classes) {
+    std::size_t i = 0;
+    while (i < calls.size()) {
+      if (is_lost(calls[i])) {
+        taken.push_back(TakeAt(queue, calls, i));
+      } else {
+        ++i;
+      }
+    }
+  }
+  return taken;
+}
+
+bool RemoveCall(CallQueue& queue, CallId call) {
+  return !DequeueIf(queue, [call](const QueuedCall& queued) {
+            return queued.m_call == call;
+          }).empty();
+}
+
+Millis OldestWait(const CallQueue& queue, Millis now) {
+  Millis oldest(0);
+  for (const Calls& calls : queue.m_classes) {
+    for (const QueuedCall& call : calls) {
+      oldest = Max(oldest, now - call.m_arrival);
+    }
+  }
+  return oldest;
+}
+
+bool IsStanding(const CallQueue& queue, Millis now) {
+  return queue.m_size > 0 && now - queue.m_last_empty >= kStandingQueueAfter;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/admission/limit.cc
@@ -0,0 +1,113 @@
+#include "hemlockpoint/admission/limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr double kSlow = 2.0;
+constexpr double kNormal = 1.5;
+// A slowdown shorter than this many windows changes nothing.
+constexpr int kBriefWindows = 3;
+constexpr int kTrialWindows = 3;
+constexpr double kTrialFactor = 0.7;
+// Between the throughput of a useful trial (1) and of a useless one (0.7).
+constexpr double kHeldThroughput = 0.85;
+constexpr Millis kPauseAfterFailedTrial(5000);
+constexpr double kFloorShare = 0.1;
+constexpr double kRaiseShare = 0.05;
+constexpr double kRateWeight = 0.4;
+constexpr double kRampStartShare = 0.2;
+constexpr Millis kRampTime(5000);
+
+void Raise(LimitState& state) {
+  state.m_limit += std::max(1.0, state.m_slots * kRaiseShare);
+  state.m_limit = std::min(state.m_limit, state.m_slots);
+}
+
+void StartTrial(LimitState& state) {
+  const double floor = std::max(1.0, state.m_slots * kFloorShare);
+  state.m_limit_before_trial = state.m_limit;
+  state.m_rate_before_trial = state.m_rate;
+  state.m_limit = std::max(floor, state.m_limit * kTrialFactor);
+  state.m_in_trial = true;
+  state.m_trial_windows = 0;
+}
+
+void JudgeTrial(LimitState& state, Millis now) {
+  if (++state.m_trial_windows < kTrialWindows) {
+    return;
+  }
+  state.m_in_trial = false;
+  if (state.m_rate < state.m_rate_before_trial * kHeldThroughput) {
+    state.m_limit = state.m_limit_before_trial;
+    state.m_next_trial = now + kPauseAfterFailedTrial;
+  }
+}
+
+void JudgeWindow(LimitState& state, double slowness, Millis now) {
+  const bool slow = slowness > kSlow;
+  state.m_slow_windows = slow ? state.m_slow_windows + 1 : 0;
+  if (state.m_in_trial) {
+    JudgeTrial(state, now);
+  }
+  if (state.m_in_trial) {
+    return;
+  }
+  if (state.m_slow_windows >= kBriefWindows && now >= state.m_next_trial) {
+    StartTrial(state);
+  } else if (slowness < kNormal) {
+    Raise(state);
+  }
+}
+
+}  // namespace
+
+void AnnounceSlots(LimitState& state, double slots, bool restart, Millis now) {
+  if (restart || state.m_slots == 0) {
+    state = LimitState();
+    state.m_limit = slots;
+    state.m_ramp_start = now;
+    state.m_window_start = now;
+    state.m_next_trial = now;
+  } else if (slots > state.m_slots && state.m_limit >= state.m_slots) {
+    state.m_limit = slots;
+  }
+  state.m_slots = slots;
+  state.m_limit = std::min(state.m_limit, slots);
+}
+
+void RecordCompletion(LimitState& state, double slowness) {
+  ++state.m_window_completions;
+  state.m_window_slowness += slowness;
+}
+
+void AdvanceLimit(LimitState& state, double stall, Millis now) {
+  if (now - state.m_window_start < kLimitWindow) {
+    return;
+  }
+  const auto completions = static_cast<double>(state.m_window_completions);
+  const double slowness =
+      completions > 0 ? state.m_window_slowness / completions : stall;
+  state.m_rate += (completions - state.m_rate) * kRateWeight;
+  state.m_window_completions = 0;
+  state.m_window_slowness = 0;
+  state.m_window_start = now;
+  JudgeWindow(state, slowness, now);
+}
+
+std::uint64_t LimitNow(const LimitState& state, Millis now) {
+  if (state.m_slots <= 0) {
+    return 0;
+  }
+  const double progress =
+      std::clamp((now - state.m_ramp_start) / kRampTime, 0.0, 1.0);
+  const double ramp =
+      state.m_slots * (kRampStartShare + (1 - kRampStartShare) * progress);
+  return static_cast<std::uint64_t>(
+      std::max(1.0, std::floor(std::min(state.m_limit, ramp))));
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/admission/shed.cc
@@ -0,0 +1,114 @@
+#include "hemlockpoint/admission/shed.h"
+
+#include <algorithm>
+
+#include "hemlockpoint/base/digest.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr double kDecay = 0.7;
+constexpr double kThroughputWeight = 0.3;
+// Under overload slightly less is let in than gets finished, so that the
+// queue drains.
+constexpr double kOverloadShare = 0.97;
+constexpr double kRaisePerWindow = 1.1;
+// A threshold that lets in all that is offered, and this much more, is not
+// needed any longer.
+constexpr double kAmple = 1.2;
+
+std::size_t BucketOf(double rank) {
+  const double bucket = rank * static_cast<double>(kRankBucketsPerClass);
+  return std::min(kRankBuckets - 1,
+                  static_cast<std::size_t>(std::max(0.0, bucket)));
+}
+
+void FoldWindow(ShedState& state) {
+  state.m_offered_weight = state.m_offered_weight * kDecay + 1;
+  for (std::size_t i = 0; i < kRankBuckets; ++i) {
+    state.m_offered[i] = state.m_offered[i] * kDecay +
+                         static_cast<double>(state.m_window_offered[i]);
+  }
+  state.m_window_offered.fill(0);
+}
+
+double OfferedPerWindow(const ShedState& state) {
+  double sum = 0;
+  for (const double offered : state.m_offered) {
+    sum += offered;
+  }
+  return sum / state.m_offered_weight;
+}
+
+// The rank below which `admit` calls per window are offered.
+double ThresholdFor(const ShedState& state, double admit) {
+  double left = admit * state.m_offered_weight;
+  for (std::size_t i = 0; i < kRankBuckets; ++i) {
+    const double offered = state.m_offered[i];
+    if (offered > left) {
+      const double part = static_cast<double>(i) + left / offered;
+      return part / static_cast<double>(kRankBucketsPerClass);
+    }
+    left -= offered;
+  }
+  return kNoShedding;
+}
+
+void MeasureThroughput(ShedState& state, bool busy) {
+  const auto completions = static_cast<double>(state.m_window_completions);
+  state.m_window_completions = 0;
+  if (busy || completions > state.m_throughput) {
+    state.m_throughput +=
+        (completions - state.m_throughput) * kThroughputWeight;
+  }
+}
+
+}  // namespace
+
+double RankOf(std::size_t priority_class, const RequestId& root) {
+  return static_cast<double>(priority_class) + RootFraction(root);
+}
+
+bool IsShed(const ShedState& state, double rank) {
+  return rank > state.m_threshold;
+}
+
+void RecordOffered(ShedState& state, double rank) {
+  ++state.m_window_offered[BucketOf(rank)];
+}
+
+void RecordServed(ShedState& state) {
+  ++state.m_window_completions;
+}
+
+void RecordWait(ShedState& state, Millis wait) {
+  state.m_window_wait = Max(state.m_window_wait, wait);
+}
+
+void AdvanceShed(ShedState& state, Millis oldest_wait, bool busy, Millis now) {
+  if (now - state.m_window_start < kShedWindow) {
+    return;
+  }
+  state.m_window_start = now;
+  FoldWindow(state);
+  MeasureThroughput(state, busy);
+  const Millis wait = Max(state.m_window_wait, oldest_wait);
+  state.m_window_wait = Millis(0);
+
+  const bool shedding = state.m_admit > 0;
+  if (wait > kQueueDelayTarget) {
+    const double admit = state.m_throughput * kOverloadShare;
+    state.m_admit =
+        std::max(1.0, shedding ? std::min(state.m_admit, admit) : admit);
+  } else if (shedding && wait < kQueueDelayTarget * 0.5) {
+    state.m_admit = state.m_admit * kRaisePerWindow + 1;
+  }
+  if (state.m_admit > OfferedPerWindow(state) * kAmple) {
+    state.m_admit = 0;
+  }
+  state.m_threshold =
+      state.m_admit > 0 ? ThresholdFor(state, state.m_admit) : kNoShedding;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/base/endpoint.cc
@@ -0,0 +1,41 @@
+#include "hemlockpoint/base/endpoint.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+
+namespace hemlockpoint {
+
+Result<Endpoint> ParseEndpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return Result<Endpoint>::Failure("expected ADDRESS:PORT");
+  }
+  std::string_view host = text.substr(0, colon);
+  if (host.size() >= 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(std::string(host), error);
+  if (error) {
+    return Result<Endpoint>::Failure("not a numeric IP address: " +
+                                     std::string(host));
+  }
+  const std::string_view digits = text.substr(colon + 1);
+  Endpoint endpoint;
+  endpoint.m_address = address.to_string();
+  const char* end = digits.data() + digits.size();
+  const auto parsed = std::from_chars(digits.data(), end, endpoint.m_port);
+  if (parsed.ec != std::errc() || parsed.ptr != end || endpoint.m_port == 0) {
+    return Result<Endpoint>::Failure("not a TCP port: " + std::string(digits));
+  }
+  return endpoint;
+}
+
+std::string ToText(const Endpoint& endpoint) {
+  const bool v6 = endpoint.m_address.find(':') != std::string::npos;
+  const std::string host =
+      v6 ? "[" + endpoint.m_address + "]" : endpoint.m_address;
+  return host + ":" + std::to_string(endpoint.m_port);
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/config/settings.cc
@@ -0,0 +1,187 @@
+#include "hemlockpoint/config/settings.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include "hemlockpoint/config/toml_reader.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr std::size_t kMaxControlHosts = 7;
+constexpr std::size_t kMaxNameBytes = 64;
+constexpr double kMebibyte = 1024.0 * 1024.0;
+constexpr double kKibibyte = 1024.0;
+
+std::string ReadName(TomlReader& reader, std::string_view key) {
+  const std::string name = reader.String(key);
+  const bool plain =
+      !name.empty() && name.size() <= kMaxNameBytes &&
+      std::all_of(name.begin(), name.end(), [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+      });
+  if (!plain) {
+    reader.Complain(key, "expected 1 to 64 letters, digits, '-', '_' or '.'");
+  }
+  return name;
+}
+
+Endpoint ReadEndpoint(TomlReader& reader, std::string_view key) {
+  const std::string text = reader.String(key);
+  const Result<Endpoint> endpoint = ParseEndpoint(text);
+  if (!endpoint) {
+    reader.Complain(key, endpoint.reason());
+    return {};
+  }
+  return *endpoint;
+}
+
+void ReadNode(TomlReader& document, Settings& settings) {
+  std::optional<TomlReader> node = document.Table("node");
+  if (!node) {
+    document.Complain("node", "missing table");
+    return;
+  }
+  settings.m_node = NodeId(ReadName(*node, "name"));
+  settings.m_group = ReadName(*node, "group");
+  settings.m_region = ReadName(*node, "region");
+  settings.m_failure_domain = ReadName(*node, "failure_domain");
+  for (const std::string& role : node->Strings("roles")) {
+    if (role == "node") {
+      settings.m_is_node = true;
+    } else if (role == "control") {
+      settings.m_is_control = true;
+    } else {
+      node->Complain("roles",
+                     "unknown role \"" + role + "\": expected node or control");
+    }
+  }
+  if (!settings.m_is_node && !settings.m_is_control) {
+    node->Complain("roles", "expected at least one of node and control");
+  }
+  settings.m_pass_through = node->Bool("pass_through", false);
+  node->FinishKeys();
+}
+
+void ReadListen(TomlReader& document, Settings& settings) {
+  std::optional<TomlReader> listen = document.Table("listen");
+  if (!listen) {
+    document.Complain("listen", "missing table");
+    return;
+  }
+  settings.m_peer = ReadEndpoint(*listen, "peer");
+  settings.m_admin = ReadEndpoint(*listen, "admin");
+  if (settings.m_is_node) {
+    settings.m_http = ReadEndpoint(*listen, "http");
+  }
+  listen->FinishKeys();
+}
+
+void ReadControl(TomlReader& document, Settings& settings) {
+  std::optional<TomlReader> control = document.Table("control");
+  if (!control) {
+    document.Complain("control", "missing table");
+    return;
+  }
+  for (TomlReader& host : control->Tables("hosts")) {
+    ControlHost entry;
+    entry.m_node = NodeId(ReadName(host, "name"));
+    entry.m_peer = ReadEndpoint(host, "peer");
+    host.FinishKeys();
+    settings.m_control_hosts.push_back(entry);
+  }
+  const std::size_t count = settings.m_control_hosts.size();
+  if (count == 0 || count > kMaxControlHosts) {
+    control->Complain("hosts", "expected 1 to 7 control hosts");
+  }
+  const bool listed = std::any_of(
+      settings.m_control_hosts.begin(), settings.m_control_hosts.end(),
+      [&](const ControlHost& host) { return host.m_node == settings.m_node; });
+  if (settings.m_is_control) {
+    settings.m_data_folder = control->String("data_folder");
+    if (!listed) {
+      control->Complain("hosts",
+                        "a process with the control role must be "
+                        "one of the hosts");
+    }
+  }
+  control->FinishKeys();
+}
+
+void ReadLimits(TomlReader& document, Settings& settings) {
+  std::optional<TomlReader> limits = document.Table("limits");
+  if (!limits) {
+    return;
+  }
+  CallerLimits& caller = settings.m_limits;
+  caller.m_body_bytes = static_cast<std::uint64_t>(
+      limits->Number("body_mib", {0.001, 4096}, 64) * kMebibyte);
+  caller.m_header_bytes = static_cast<std::uint32_t>(
+      limits->Number("header_kib", {1, 256}, 16) * kKibibyte);
+  caller.m_connections = limits->Integer("connections", {1, 65536}, 4096);
+  caller.m_calls = limits->Integer("calls", {1, 65536}, 8192);
+  caller.m_default_deadline =
+      Millis(limits->Number("default_deadline_ms", {1, 3.6e6}, 10'000));
+  caller.m_longest_deadline =
+      Millis(limits->Number("longest_deadline_ms", {1, 3.6e6}, 300'000));
+  settings.m_queue_entries = limits->Integer("queue_entries", {1, 65536}, 1024);
+  settings.m_drain_timeout =
+      Millis(limits->Number("drain_timeout_ms", {0, 3.6e6}, 60'000));
+  if (caller.m_longest_deadline < caller.m_default_deadline) {
+    limits->Complain("longest_deadline_ms", "shorter than default_deadline_ms");
+  }
+  limits->FinishKeys();
+}
+
+void ReadLog(TomlReader& document, Settings& settings) {
+  std::optional<TomlReader> log = document.Table("log");
+  if (!log) {
+    return;
+  }
+  const std::optional<LogLevel> level =
+      ParseLogLevel(log->String("level", "info"));
+  if (level) {
+    settings.m_log_level = *level;
+  } else {
+    log->Complain("level", "expected debug, info, warning or error");
+  }
+  log->FinishKeys();
+}
+
+}  // namespace
+
+std::optional<Settings> ParseSettings(std::string_view text,
+                                      const std::string& source,
+                                      Findings& findings) {
+  const std::optional<toml::table> table = ParseToml(text, source, findings);
+  if (!table) {
+    return std::nullopt;
+  }
+  Settings settings;
+  TomlReader document(*table, "", source, findings);
+  ReadNode(document, settings);
+  ReadListen(document, settings);
+  ReadControl(document, settings);
+  ReadLimits(document, settings);
+  ReadLog(document, settings);
+  document.FinishKeys();
+  if (!findings.empty()) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+std::optional<Settings> LoadSettings(const std::string& path,
+                                     Findings& findings) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) {
+    findings.Add({path, 0, 0}, "cannot be read");
+    return std::nullopt;
+  }
+  return ParseSettings(text.str(), path, findings);
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/config/toml_reader.cc
@@ -0,0 +1,218 @@
+#include "hemlockpoint/config/toml_reader.h"
+
+#include <cmath>
+#include <sstream>
+#include <utility>
+
+namespace hemlockpoint {
+
+namespace {
+
+Place PlaceOfRegion(const toml::source_region& region,
+                    const std::string& source) {
+  return {source, region.begin.line, region.begin.column};
+}
+
+std::string RangeText(NumberRange range) {
+  std::ostringstream text;
+  text << range.m_minimum << " to " << range.m_maximum;
+  return text.str();
+}
+
+}  // namespace
+
+std::optional<toml::table> ParseToml(std::string_view text,
+                                     const std::string& source,
+                                     Findings& findings) {
+  toml::parse_result parsed = toml::parse(text);
+  if (!parsed) {
+    const toml::parse_error& error = parsed.error();
+    findings.Add(PlaceOfRegion(error.source(), source),
+                 std::string(error.description()));
+    return std::nullopt;
+  }
+  return std::move(parsed).table();
+}
+
+TomlReader::TomlReader(const toml::table& table,
+                       std::string path,
+                       std::string source,
+                       Findings& findings)
+    : m_table(&table),
+      m_path(std::move(path)),
+      m_source(std::move(source)),
+      m_findings(&findings) {}
+
+std::string TomlReader::String(std::string_view key,
+                               std::optional<std::string> fallback) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) {
+    if (!fallback) {
+      Missing(key);
+    }
+    return fallback.value_or("");
+  }
+  if (!node->is_string()) {
+    Complain(key, "expected a string");
+    return fallback.value_or("");
+  }
+  return node->as_string()->get();
+}
+
+double TomlReader::Number(std::string_view key,
+                          NumberRange range,
+                          std::optional<double> fallback) {
+  const toml::node* node = Find(key);
+  const double otherwise = fallback.value_or(range.m_minimum);
+  if (node == nullptr) {
+    if (!fallback) {
+      Missing(key);
+    }
+    return otherwise;
+  }
+  if (!node->is_number()) {
+    Complain(key, "expected a number");
+    return otherwise;
+  }
+  const double value = node->value<double>().value_or(std::nan(""));
+  if (!(value >= range.m_minimum && value <= range.m_maximum)) {
+    Complain(key, "out of range: expected " + RangeText(range));
+    return otherwise;
+  }
+  return value;
+}
+
+std::uint64_t TomlReader::Integer(std::string_view key,
+                                  NumberRange range,
+                                  std::optional<std::uint64_t> fallback) {
+  const toml::node* node = Find(key);
+  if (node != nullptr && !node->is_integer()) {
+    Complain(key, "expected an integer");
+    return fallback.value_or(0);
+  }
+  std::optional<double> number;
+  if (fallback) {
+    number = static_cast<double>(*fallback);
+  }
+  return static_cast<std::uint64_t>(Number(key, range, number));
+}
+
+bool TomlReader::Bool(std::string_view key, std::optional<bool> fallback) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) {
+    if (!fallback) {
+      Missing(key);
+    }
+    return fallback.value_or(false);
+  }
+  if (!node->is_boolean()) {
+    Complain(key, "expected true or false");
+    return fallback.value_or(false);
+  }
+  return node->as_boolean()->get();
+}
+
+std::vector<std::string> TomlReader::Strings(
+    std::string_view key,
+    std::optional<std::vector<std::string>> fallback) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) {
+    if (!fallback) {
+      Missing(key);
+    }
+    return fallback.value_or(std::vector<std::string>());
+  }
+  const toml::array* array = node->as_array();
+  if (array == nullptr) {
+    Complain(key, "expected an array of strings");
+    return {};
+  }
+  std::vector<std::string> values;
+  for (const toml::node& item : *array) {
+    if (!item.is_string()) {
+      m_findings->Add(
+          PlaceOfRegion(item.source(), m_source),
+          "expected a string in " + m_path + "." + std::string(key));
+      continue;
+    }
+    values.push_back(item.as_string()->get());
+  }
+  return values;
+}
+
+std::optional<TomlReader> TomlReader::Table(std::string_view key) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) {
+    return std::nullopt;
+  }
+  const toml::table* table = node->as_table();
+  if (table == nullptr) {
+    Complain(key, "expected a table");
+    return std::nullopt;
+  }
+  const std::string path =
+      m_path.empty() ? std::string(key) : m_path + "." + std::string(key);
+  return TomlReader(*table, path, m_source, *m_findings);
+}
+
+std::vector<TomlReader> TomlReader::Tables(std::string_view key) {
+  std::vector<TomlReader> readers;
+  const toml::node* node = Find(key);
+  if (node == nullptr) {
+    return readers;
+  }
+  const toml::array* array = node->as_array();
+  if (array == nullptr) {
+    Complain(key, "expected an array of tables");
+    return readers;
+  }
+  for (const toml::node& item : *array) {
+    const toml::table* table = item.as_table();
+    if (table == nullptr) {
+      Complain(key, "expected an array of tables");
+      continue;
+    }
+    readers.emplace_back(*table, m_path + "." + std::string(key), m_source,
+                         *m_findings);
+  }
+  return readers;
+}
+
+std::vector<std::string> TomlReader::Keys() const {
+  std::vector<std::string> keys;
+  for (const auto& [key, value] : *m_table) {
+    keys.emplace_back(key.str());
+  }
+  return keys;
+}
+
+void TomlReader::FinishKeys() {
+  for (const std::string& key : Keys()) {
+    if (m_read.count(key) == 0) {
+      Complain(key, "unknown key");
+    }
+  }
+}
+
+void TomlReader::Complain(std::string_view key, const std::string& text) {
+  const std::string name =
+      m_path.empty() ? std::string(key) : m_path + "." + std::string(key);
+  m_findings->Add(PlaceOf(key), name + ": " + text);
+}
+
+Place TomlReader::PlaceOf(std::string_view key) const {
+  const toml::node* node = m_table->get(key);
+  return PlaceOfRegion(node == nullptr ? m_table->source() : node->source(),
+                       m_source);
+}
+
+const toml::node* TomlReader::Find(std::string_view key) {
+  m_read.emplace(key);
+  return m_table->get(key);
+}
+
+void TomlReader::Missing(std::string_view key) {
+  Complain(key, "missing");
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/ctl/admin_client.h
@@ -0,0 +1,44 @@
+#ifndef HEMLOCKPOINT_CTL_ADMIN_CLIENT_H_
+#define HEMLOCKPOINT_CTL_ADMIN_CLIENT_H_
+
+#include <string>
+
+#include "hemlockpoint/base/endpoint.h"
+#include "hemlockpoint/base/result.h"
+#include "hemlockpoint/http/heads.h"
+#include "hemlockpoint/runtime/fiber_loop.h"
+
+namespace hemlockpoint {
+
+/// @brief An operator listener's answer.
+struct AdminReply {
+  unsigned m_status = 0;
+  std::string m_body;
+};
+
+/// @brief Asks operator listeners of nodes; used on a fiber.
+class AdminClient {
+ public:
+  explicit AdminClient(FiberLoop& loop) : m_loop(loop) {}
+
+  /// @return The answer, or why there is none.
+  [[nodiscard]] Result<AdminReply> Request(const Endpoint& node,
+                                           const std::string& method,
+                                           const std::string& path,
+                                           const HeaderFields& headers,
+                                           const std::string& body) const;
+
+  [[nodiscard]] Result<AdminReply> Get(const Endpoint& node,
+                                       const std::string& path) const;
+
+ private:
+  FiberLoop& m_loop;
+};
+
+/// @return The text with everything but unreserved characters as %XX
+/// (RFC 3986, 2.1).
+[[nodiscard]] std::string PercentEncode(const std::string& text);
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_CTL_ADMIN_CLIENT_H_
--- /dev/null
+++ b/src/hemlockpoint/entry/filters.cc
@@ -0,0 +1,189 @@
+#include "hemlockpoint/entry/filters.h"
+
+#include <algorithm>
+
+#include "hemlockpoint/admission/shed.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr double kProbeShare = 0.02;
+constexpr Millis kThresholdRetryAfter(500);
+constexpr Millis kThrottleRetryAfter(1000);
+constexpr Millis kResendRetryAfter(1000);
+constexpr double kMillisPerSecond = 1000;
+
+WorkRef WorkOf(const EntryCall& call) {
+  return {call.m_caller.value(), call.m_request.m_service.value(),
+          call.m_request.m_method, PathOnly(call.m_request.m_path)};
+}
+
+RuleReference RuleOf(const EntryCall& call, const RuleName& name) {
+  return {call.m_policy->m_revision, name.m_section, name.m_rule};
+}
+
+// Takes a token from the rule's bucket, refilled for the time since.
+bool TakeToken(CapBucket& bucket, const CapRule& rule, Millis now) {
+  const double seconds =
+      std::max(0.0, (now - bucket.m_updated).value()) / kMillisPerSecond;
+  bucket.m_tokens = std::min(
+      rule.m_burst, bucket.m_tokens + seconds * rule.m_per_second_per_node);
+  bucket.m_updated = now;
+  if (bucket.m_tokens < 1) {
+    return false;
+  }
+  bucket.m_tokens -= 1;
+  return true;
+}
+
+}  // namespace
+
+std::optional<Refusal> FilterBlocked(EntryState&,
+                                     EntryCall& call,
+                                     double,
+                                     Millis) {
+  const BlockRule* block = call.m_verdict.m_block;
+  if (block == nullptr) {
+    return std::nullopt;
+  }
+  return RefuseByRule(Reason::kBlocked, RuleOf(call, block->m_name));
+}
+
+std::optional<Refusal> FilterDepth(EntryState&,
+                                   EntryCall& call,
+                                   double,
+                                   Millis) {
+  if (call.m_depth < call.m_policy->m_max_depth) {
+    return std::nullopt;
+  }
+  return RefuseByRule(Reason::kDepthLimit,
+                      RuleOf(call, {kPlatformSection, "max_depth"}));
+}
+
+std::optional<Refusal> FilterKey(EntryState&, EntryCall& call, double, Millis) {
+  if (!call.m_verdict.m_key_required || !call.m_request.m_key.empty()) {
+    return std::nullopt;
+  }
+  return RefuseByRule(Reason::kMalformedRequest, call.m_verdict.m_key_rule);
+}
+
+std::optional<Refusal> FilterQuarantine(EntryState& state,
+                                        EntryCall& call,
+                                        double,
+                                        Millis now) {
+  const auto suspicion = StateOf(state.m_quarantine, call.m_fingerprint, now);
+  call.m_suspect = suspicion.has_value();
+  if (suspicion != SuspectState::kQuarantined) {
+    return std::nullopt;
+  }
+  return RefuseBySignal(Reason::kQuarantined, {"target_crashes", 2, 2});
+}
+
+std::optional<Refusal> FilterResend(EntryState& state,
+                                    EntryCall& call,
+                                    double,
+                                    Millis now) {
+  if (!call.m_is_root) {
+    return std::nullopt;
+  }
+  const ResendVerdict verdict =
+      JudgeResend(state.m_resends, call.m_caller, call.m_resend_fingerprint,
+                  call.m_verdict.m_caller_ratio, now);
+  if (verdict.m_root) {
+    call.m_root = *verdict.m_root;
+  }
+  if (verdict.m_allowed) {
+    return std::nullopt;
+  }
+  Refusal refusal = RefuseByRule(Reason::kCallerRetryBudget,
+                                 call.m_verdict.m_repetition_rule);
+  refusal.m_retry_after = kResendRetryAfter;
+  return refusal;
+}
+
+std::optional<Refusal> FilterCap(EntryState& state,
+                                 EntryCall& call,
+                                 double,
+                                 Millis now) {
+  const WorkRef work = WorkOf(call);
+  for (const CapRule& rule : call.m_policy->m_cap_rules) {
+    if (!Covers(rule.m_work, work)) {
+      continue;
+    }
+    CapBucket& bucket =
+        state.m_caps[{rule.m_name.m_section, rule.m_name.m_rule}];
+    if (!TakeToken(bucket, rule, now)) {
+      Refusal refusal =
+          RefuseByRule(Reason::kCallerCap, RuleOf(call, rule.m_name));
+      refusal.m_retry_after =
+          Millis(kMillisPerSecond / std::max(1.0, rule.m_per_second_per_node));
+      return refusal;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> FilterThreshold(EntryState& state,
+                                       EntryCall& call,
+                                       double random,
+                                       Millis now) {
+  const auto service = state.m_services.find(call.m_request.m_service);
+  if (service == state.m_services.end() || random < kProbeShare) {
+    return std::nullopt;
+  }
+  const std::size_t targets = UsableTargets(service->second, now);
+  const double threshold =
+      EntryThreshold(state.m_thresholds, call.m_kind, targets, now);
+  const double rank = RankOf(call.m_class, call.m_root);
+  if (rank <= threshold) {
+    return std::nullopt;
+  }
+  Refusal refusal =
+      RefuseBySignal(Reason::kShed, {"told_threshold", rank, threshold});
+  refusal.m_retry_after = kThresholdRetryAfter;
+  return refusal;
+}
+
+std::optional<Refusal> FilterThrottle(EntryState& state,
+                                      EntryCall& call,
+                                      double random,
+                                      Millis now) {
+  ThrottleState& throttle = state.m_throttles[call.m_request.m_service];
+  const double share = ThrottledShare(throttle, now);
+  RecordThrottleRequest(throttle, now);
+  if (random >= share) {
+    return std::nullopt;
+  }
+  Refusal refusal =
+      RefuseBySignal(Reason::kThrottled, {"throttled_share", share, 0});
+  refusal.m_retry_after = kThrottleRetryAfter;
+  return refusal;
+}
+
+const std::vector<EntryFilter>& EntryFilters() {
+  // A person's decisions first, so that a blocked call is never told of load.
+  static const std::vector<EntryFilter> filters = {
+      FilterBlocked, FilterDepth,  FilterKey,       FilterQuarantine,
+      FilterCap,     FilterResend, FilterThreshold, FilterThrottle};
+  return filters;
+}
+
+std::optional<Refusal> RunFilters(EntryState& state,
+                                  EntryCall& call,
+                                  const std::vector<double>& randoms,
+                                  Millis now) {
+  if (state.m_pass_through) {
+    return std::nullopt;
+  }
+  const std::vector<EntryFilter>& filters = EntryFilters();
+  for (std::size_t i = 0; i < filters.size(); ++i) {
+    const auto refusal = filters[i](state, call, randoms[i], now);
+    if (refusal) {
+      return refusal;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/entry/fwd.h
@@ -0,0 +1,13 @@
+#ifndef HEMLOCKPOINT_ENTRY_FWD_H_
+#define HEMLOCKPOINT_ENTRY_FWD_H_
+
+namespace hemlockpoint {
+
+struct EntryCall;
+struct EntryState;
+struct InboundRecord;
+struct CallerRequest;
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_ENTRY_FWD_H_
--- /dev/null
+++ b/src/hemlockpoint/http/client.cc
@@ -0,0 +1,246 @@
+#include "hemlockpoint/http/client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <limits>
+#include <utility>
+#include <vector>
+
+#include "hemlockpoint/http/beast_fields.h"
+#include "hemlockpoint/runtime/await.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+
+struct Connection {
+  explicit Connection(asio::io_context& io) : m_socket(io) {}
+  tcp::socket m_socket;
+  beast::flat_buffer m_buffer;
+};
+
+// Whether the server has closed an idle connection, or sent on it unasked.
+bool IsStale(Connection& connection) {
+  char byte = 0;
+  ErrorCode error;
+  connection.m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                              error);
+  return error != asio::error::would_block;
+}
+
+}  // namespace
+
+struct HttpClientPool::State {
+  State(asio::io_context& io, Endpoint server, std::size_t max_connections)
+      : m_io(io),
+        m_server(asio::ip::make_address(server.m_address), server.m_port),
+        m_max_connections(max_connections) {}
+
+  std::unique_ptr<Connection> TakeIdle() {
+    while (!m_idle.empty()) {
+      std::unique_ptr<Connection> connection = std::move(m_idle.back());
+      m_idle.pop_back();
+      if (!IsStale(*connection)) {
+        return connection;
+      }
+    }
+    return nullptr;
+  }
+
+  Result<std::unique_ptr<Connection>> Connect(Millis timeout) {
+    using Failure = Result<std::unique_ptr<Connection>>;
+    if (m_busy + m_idle.size() >= m_max_connections) {
+      return Failure::Failure("all connections to the server are in use");
+    }
+    auto connection = std::make_unique<Connection>(m_io);
+    // Cleared below, because the handler may run after this frame is gone.
+    auto pending = std::make_shared<Connection*>(connection.get());
+    asio::steady_timer timer(m_io, ToChrono(timeout));
+    timer.async_wait([pending](ErrorCode error) {
+      if (!error && *pending != nullptr) {
+        (*pending)->m_socket.close(error);
+      }
+    });
+    const IoResult connected = AwaitIo([&](auto handler) {
+      connection->m_socket.async_connect(m_server, std::move(handler));
+    });
+    *pending = nullptr;
+    if (connected.m_error) {
+      return Failure::Failure("connecting to the server failed: " +
+                              connected.m_error.message());
+    }
+    ErrorCode ignored;
+    connection->m_socket.set_option(tcp::no_delay(true), ignored);
+    connection->m_socket.non_blocking(true, ignored);
+    return connection;
+  }
+
+  asio::io_context& m_io;
+  tcp::endpoint m_server;
+  std::size_t m_max_connections;
+  std::vector<std::unique_ptr<Connection>> m_idle;
+  std::size_t m_busy = 0;
+};
+
+namespace {
+
+template <typename PoolState>
+class Call : public HttpClientCall {
+ public:
+  Call(std::shared_ptr<PoolState> pool, std::unique_ptr<Connection> connection)
+      : m_pool(std::move(pool)), m_connection(std::move(connection)) {
+    ++m_pool->m_busy;
+  }
+
+  ~Call() override {
+    --m_pool->m_busy;
+    if (!m_cancelled && m_sent && m_parser && m_parser->is_done() &&
+        m_parser->keep_alive()) {
+      m_pool->m_idle.push_back(std::move(m_connection));
+    }
+  }
+
+  bool SendHead(const HttpRequestHead& head,
+                std::string_view body,
+                bool complete) override {
+    m_head_only = head.m_method == "HEAD";
+    m_request.version(kHttp11);
+    m_request.method_string(head.m_method);
+    m_request.target(head.m_path);
+    std::optional<std::uint64_t> length = head.m_content_length;
+    if (complete) {
+      length = body.size();
+    }
+    internal::SetFields(m_request, head.m_headers, length);
+    m_request.keep_alive(true);
+    m_serializer.emplace(m_request);
+    return SendBody(body, complete);
+  }
+
+  bool SendBody(std::string_view bytes, bool complete) override {
+    auto& body = m_request.body();
+    // The library only reads through the pointer while it writes.
+    body.data = bytes.empty() ? nullptr : const_cast<char*>(bytes.data());
+    body.size = bytes.size();
+    body.more = !complete;
+    const IoResult written = AwaitIo([this](auto handler) {
+      http::async_write(m_connection->m_socket, *m_serializer,
+                        std::move(handler));
+    });
+    m_sent = complete && !written.m_error;
+    return !written.m_error || written.m_error == http::error::need_buffer;
+  }
+
+  std::optional<HttpResponseHead> ReadHead() override {
+    do {
+      m_parser.emplace();
+      m_parser->header_limit(kMaxHeaderBytes);
+      m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+      m_parser->skip(m_head_only);
+      const IoResult read = AwaitIo([this](auto handler) {
+        http::async_read_header(m_connection->m_socket, m_connection->m_buffer,
+                                *m_parser, std::move(handler));
+      });
+      if (read.m_error) {
+        return std::nullopt;
+      }
+    } while (IsInterim(m_parser->get().result_int()));
+    const auto& message = m_parser->get();
+    HttpResponseHead head;
+    head.m_status = message.result_int();
+    head.m_headers = internal::CopyEndToEnd(message);
+    if (const auto length = m_parser->content_length()) {
+      head.m_content_length = *length;
+    } else if (m_parser->is_done()) {
+      head.m_content_length = 0;
+    }
+    return head;
+  }
+
+  std::optional<std::string> ReadBody() override {
+    std::string chunk;
+    while (chunk.empty() && !m_parser->is_done()) {
+      chunk.resize(kMaxChunkBytes);
+      m_parser->get().body().data = chunk.data();
+      m_parser->get().body().size = chunk.size();
+      const IoResult read = AwaitIo([this](auto handler) {
+        http::async_read_some(m_connection->m_socket, m_connection->m_buffer,
+                              *m_parser, std::move(handler));
+      });
+      if (read.m_error && read.m_error != http::error::need_buffer) {
+        return std::nullopt;
+      }
+      chunk.resize(chunk.size() - m_parser->get().body().size);
+    }
+    return chunk;
+  }
+
+  void Cancel() override {
+    m_cancelled = true;
+    ErrorCode ignored;
+    m_connection->m_socket.close(ignored);
+  }
+
+ private:
+  static bool IsInterim(unsigned status) {
+    constexpr unsigned kSwitchingProtocols = 101;
+    return status < 200 && status != kSwitchingProtocols;
+  }
+
+  std::shared_ptr<PoolState> m_pool;
+  std::unique_ptr<Connection> m_connection;
+  http::request<http::buffer_body> m_request;
+  std::optional<http::request_serializer<http::buffer_body>> m_serializer;
+  std::optional<http::response_parser<http::buffer_body>> m_parser;
+  bool m_head_only = false;
+  bool m_sent = false;
+  bool m_cancelled = false;
+};
+
+}  // namespace
+
+HttpClientPool::HttpClientPool(asio::io_context& io,
+                               Endpoint server,
+                               std::size_t max_connections)
+    : m_state(std::make_shared<State>(io, std::move(server), max_connections)) {
+}
+
+HttpClientPool::~HttpClientPool() {
+  CloseIdle();
+}
+
+Result<std::unique_ptr<HttpClientCall>> HttpClientPool::Open(Millis timeout) {
+  using CallResult = Result<std::unique_ptr<HttpClientCall>>;
+  std::unique_ptr<Connection> connection = m_state->TakeIdle();
+  if (!connection) {
+    auto connected = m_state->Connect(timeout);
+    if (!connected) {
+      return CallResult::Failure(connected.reason());
+    }
+    connection = std::move(*connected);
+  }
+  std::unique_ptr<HttpClientCall> call =
+      std::make_unique<Call<State>>(m_state, std::move(connection));
+  return call;
+}
+
+void HttpClientPool::CloseIdle() {
+  m_state->m_idle.clear();
+}
+
+std::size_t HttpClientPool::busy() const {
+  return m_state->m_busy;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/log/log.cc
@@ -0,0 +1,146 @@
+#include "hemlockpoint/log/log.h"
+
+#include <array>
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/smart_ptr/make_shared_object.hpp>
+#include <cstdio>
+#include <iostream>
+
+#include "hemlockpoint/base/millis.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+namespace sinks = boost::log::sinks;
+
+constexpr std::size_t kMaxQueuedEvents = 8192;
+
+using Sink = sinks::asynchronous_sink<
+    sinks::text_ostream_backend,
+    sinks::bounded_fifo_queue<kMaxQueuedEvents, sinks::drop_on_overflow>>;
+
+constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info",
+                                                         "warning", "error"};
+
+LogLevel g_minimum = LogLevel::kError;
+boost::shared_ptr<Sink> g_sink;
+
+boost::log::sources::logger& Logger() {
+  thread_local boost::log::sources::logger logger;
+  return logger;
+}
+
+std::string FormatNumber(double value) {
+  std::array<char, 32> buffer{};
+  std::snprintf(buffer.data(), buffer.size(), "%.3f", value);
+  return buffer.data();
+}
+
+}  // namespace
+
+std::optional<LogLevel> ParseLogLevel(std::string_view word) {
+  for (std::size_t i = 0; i < kLevelNames.size(); ++i) {
+    if (kLevelNames[i] == word) {
+      return static_cast<LogLevel>(i);
+    }
+  }
+  return std::nullopt;
+}
+
+void StartLog(LogLevel level) {
+  g_minimum = level;
+  auto backend = boost::make_shared<sinks::text_ostream_backend>();
+  backend->add_stream(
+      boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+  backend->auto_flush(true);
+  g_sink = boost::make_shared<Sink>(backend);
+  boost::log::core::get()->add_sink(g_sink);
+}
+
+void StopLog() {
+  if (!g_sink) {
+    return;
+  }
+  boost::log::core::get()->remove_sink(g_sink);
+  g_sink->stop();
+  g_sink->flush();
+  g_sink.reset();
+}
+
+LogLine::LogLine(LogLevel level, std::string_view event)
+    : m_level(level), m_enabled(g_sink && level >= g_minimum) {
+  if (!m_enabled) {
+    return;
+  }
+  m_text = "ts=" + FormatNumber(UnixMillis()) + " level=";
+  m_text += kLevelNames[static_cast<std::size_t>(level)];
+  m_text += " event=";
+  m_text += event;
+}
+
+LogLine::~LogLine() {
+  if (m_enabled) {
+    BOOST_LOG(Logger()) << m_text;
+  }
+}
+
+LogLine& LogLine::With(std::string_view key, std::string_view value) {
+  if (m_enabled) {
+    m_text += ' ';
+    m_text += key;
+    m_text += '=';
+    m_text += QuoteLogValue(value);
+  }
+  return *this;
+}
+
+LogLine& LogLine::With(std::string_view key, std::uint64_t value) {
+  return m_enabled ? With(key, std::string_view(std::to_string(value))) : *this;
+}
+
+LogLine& LogLine::With(std::string_view key, int value) {
+  return m_enabled ? With(key, std::string_view(std::to_string(value))) : *this;
+}
+
+LogLine& LogLine::With(std::string_view key, double value) {
+  return m_enabled ? With(key, std::string_view(FormatNumber(value))) : *this;
+}
+
+std::string QuoteLogValue(std::string_view value) {
+  const auto is_plain = [](unsigned char c) {
+    return c > ' ' && c < 0x7f && c != '"' && c != '=' && c != '\\';
+  };
+  bool plain = !value.empty();
+  for (const char c : value) {
+    plain = plain && is_plain(static_cast<unsigned char>(c));
+  }
+  if (plain) {
+    return std::string(value);
+  }
+  std::string quoted = "\"";
+  for (const char c : value) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\') {
+      quoted += '\\';
+      quoted += c;
+    } else if (byte < ' ' || byte == 0x7f) {
+      std::array<char, 8> escape{};
+      std::snprintf(escape.data(), escape.size(), "\\x%02x", byte);
+      quoted += escape.data();
+    } else {
+      quoted += c;
+    }
+  }
+  quoted += '"';
+  return quoted;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/membership/directory.cc
@@ -0,0 +1,109 @@
+#include "hemlockpoint/membership/directory.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+bool SameForOthers(const MemberEntry& a, const MemberEntry& b) {
+  return a.m_incarnation == b.m_incarnation && a.m_peer == b.m_peer &&
+         a.m_admin == b.m_admin && a.m_region == b.m_region &&
+         a.m_failure_domain == b.m_failure_domain &&
+         a.m_target.m_service == b.m_target.m_service &&
+         a.m_target.m_slots == b.m_target.m_slots &&
+         a.m_target.m_leaving == b.m_target.m_leaving;
+}
+
+bool IsOfInterest(const Subscriber& subscriber, const DirectoryMember& member) {
+  return subscriber.m_interests.count(member.m_entry.m_target.m_service) != 0;
+}
+
+}  // namespace
+
+bool RenewMember(Directory& directory, const MemberEntry& entry, Millis now) {
+  const auto found = directory.m_members.find(entry.m_node);
+  if (found == directory.m_members.end() &&
+      directory.m_members.size() >= kMaxMembers) {
+    return false;
+  }
+  DirectoryMember& member = directory.m_members[entry.m_node];
+  const bool known = found != directory.m_members.end();
+  // A heartbeat of a former life may arrive late.
+  if (known && entry.m_incarnation < member.m_entry.m_incarnation) {
+    return false;
+  }
+  const bool changed =
+      !known || member.m_gone || !SameForOthers(member.m_entry, entry);
+  member.m_entry = entry;
+  member.m_renewed = now;
+  member.m_gone = false;
+  if (changed) {
+    member.m_version = ++directory.m_version;
+  }
+  return changed;
+}
+
+std::vector<NodeId> ExpireMembers(Directory& directory, Millis now) {
+  std::vector<NodeId> gone;
+  auto entry = directory.m_members.begin();
+  while (entry != directory.m_members.end()) {
+    DirectoryMember& member = entry->second;
+    const Millis silence = now - member.m_renewed;
+    if (!member.m_gone && silence > kMemberLease) {
+      member.m_gone = true;
+      member.m_version = ++directory.m_version;
+      gone.push_back(entry->first);
+    }
+    const bool forget = member.m_gone && silence > kTombstoneFor;
+    entry = forget ? directory.m_members.erase(entry) : std::next(entry);
+  }
+  return gone;
+}
+
+void UpdateInterests(Subscriber& subscriber,
+                     const Directory& directory,
+                     const Heartbeat& heartbeat) {
+  const std::set<ServiceName> wanted(heartbeat.m_interests.begin(),
+                                     heartbeat.m_interests.end());
+  const bool same_directory =
+      heartbeat.m_directory_origin == directory.m_origin;
+  if (wanted != subscriber.m_interests || !same_directory) {
+    subscriber.m_interests = wanted;
+    subscriber.m_version = 0;
+    subscriber.m_has_full = false;
+  }
+}
+
+DirectoryDelta TakeDelta(Subscriber& subscriber,
+                         const Directory& directory,
+                         Millis now) {
+  DirectoryDelta delta;
+  const bool warm = now - directory.m_started >= kDirectoryWarmUp;
+  const bool send_full = warm && !subscriber.m_has_full;
+  const bool behind = subscriber.m_version < directory.m_version;
+  if (subscriber.m_interests.empty() || (!send_full && !behind)) {
+    return delta;
+  }
+  delta.m_origin = directory.m_origin;
+  delta.m_version = directory.m_version;
+  delta.m_full = send_full;
+  const std::uint64_t since = send_full ? 0 : subscriber.m_version;
+  for (const auto& [node, member] : directory.m_members) {
+    if (member.m_version <= since || !IsOfInterest(subscriber, member)) {
+      continue;
+    }
+    if (member.m_gone) {
+      delta.m_gone.push_back(node);
+    } else {
+      delta.m_changed.push_back(member.m_entry);
+    }
+  }
+  subscriber.m_version = directory.m_version;
+  subscriber.m_has_full = subscriber.m_has_full || send_full;
+  if (send_full || !delta.m_changed.empty() || !delta.m_gone.empty()) {
+    delta.m_services.assign(subscriber.m_interests.begin(),
+                            subscriber.m_interests.end());
+  }
+  return delta;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/membership/member_view.h
@@ -0,0 +1,26 @@
+#ifndef HEMLOCKPOINT_MEMBERSHIP_MEMBER_VIEW_H_
+#define HEMLOCKPOINT_MEMBERSHIP_MEMBER_VIEW_H_
+
+#include <map>
+#include <vector>
+
+#include "hemlockpoint/routing/balancer.h"
+#include "hemlockpoint/wire/membership_messages.h"
+
+namespace hemlockpoint {
+
+/// @brief Applies a delta to what a node knows of other members and to its
+/// choice of targets.
+/// @param members Members by node.
+/// @param services Targets by service.
+/// @return Peer endpoints of members that are gone or have restarted, whose
+/// links carry nothing any more.
+[[nodiscard]] std::vector<std::string> ApplyDelta(
+    std::map<NodeId, MemberEntry>& members,
+    std::map<ServiceName, Balancer>& services,
+    const DirectoryDelta& delta,
+    Millis now);
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_MEMBERSHIP_MEMBER_VIEW_H_
--- /dev/null
+++ b/src/hemlockpoint/node/core.h
@@ -0,0 +1,48 @@
+#ifndef HEMLOCKPOINT_NODE_CORE_H_
+#define HEMLOCKPOINT_NODE_CORE_H_
+
+#include <map>
+#include <pcg_random.hpp>
+#include <string>
+
+#include "hemlockpoint/config/settings.h"
+#include "hemlockpoint/entry/filters.h"
+#include "hemlockpoint/entry/records.h"
+#include "hemlockpoint/report/counters.h"
+#include "hemlockpoint/report/decisions.h"
+#include "hemlockpoint/runtime/fiber_loop.h"
+#include "hemlockpoint/transport/link_layer.h"
+#include "hemlockpoint/wire/membership_messages.h"
+
+namespace hemlockpoint {
+
+/// @brief State that the controllers of one node share; one thread uses it.
+struct NodeCore {
+  NodeCore(const Settings& settings, FiberLoop& loop);
+
+  /// @return Uniform in [0, 1).
+  [[nodiscard]] double Random();
+
+  /// @return An id that no other request has, naming this node.
+  [[nodiscard]] RequestId NewRequestId();
+
+  const Settings& m_settings;
+  FiberLoop& m_loop;
+  std::uint64_t m_incarnation;
+  pcg64 m_random;
+  EntryState m_entry;
+  InboundRecords m_records;
+  /// Members by node, as far as this node was told.
+  std::map<NodeId, MemberEntry> m_members;
+  DecisionLog m_decisions;
+  Counters m_counters;
+  /// Set before the controllers run; outlives them.
+  LinkLayer* m_links = nullptr;
+  /// Calls that have entered here and not ended.
+  std::size_t m_entry_calls = 0;
+  bool m_leaving = false;
+};
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_NODE_CORE_H_
--- /dev/null
+++ b/src/hemlockpoint/node/entry_service.h
@@ -0,0 +1,59 @@
+#ifndef HEMLOCKPOINT_NODE_ENTRY_SERVICE_H_
+#define HEMLOCKPOINT_NODE_ENTRY_SERVICE_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "hemlockpoint/http/server.h"
+#include "hemlockpoint/node/core.h"
+#include "hemlockpoint/node/target_gate.h"
+
+namespace hemlockpoint {
+
+/// @brief Takes calls of callers and of the service beside the node, chooses
+/// a target for each, and owns deadline, repeats and the answer.
+class EntryService {
+ public:
+  /// @param want_service Asks for the members of a service that this node
+  /// does not know yet, and waits a moment for them.
+  EntryService(NodeCore& core,
+               TargetGate& gate,
+               std::function<void(const ServiceName&)> want_service);
+
+  /// @brief Serves one request on its connection's fiber.
+  void Serve(HttpExchange& exchange);
+
+ private:
+  struct Attempt;
+  struct Progress;
+
+  std::optional<Refusal> Prepare(Progress& progress);
+  std::optional<Refusal> TieToParent(EntryCall& call);
+  std::optional<Refusal> Send(Progress& progress);
+  std::optional<Refusal> TryTarget(Progress& progress, const NodeId& node);
+  Result<OutboundCall> Open(Progress& progress, const NodeId& node);
+  CallStart MakeStart(const Progress& progress) const;
+  std::optional<Refusal> AwaitAnswer(Progress& progress, const NodeId& node);
+  void StartBodyPump(Progress& progress);
+  void StopBodyPump(Progress& progress);
+  void RelayAnswer(Progress& progress);
+  void Reject(Progress& progress, Refusal refusal, const std::string& detail);
+  void Note(const Progress& progress,
+            const NodeId& target,
+            const Refusal& refusal,
+            const char* action);
+  void RecordAttempt(Progress& progress,
+                     const NodeId& node,
+                     const std::optional<Refusal>& refusal,
+                     Millis sent);
+  CallBudget& BudgetOf(Progress& progress);
+
+  NodeCore& m_core;
+  TargetGate& m_gate;
+  std::function<void(const ServiceName&)> m_want_service;
+};
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_NODE_ENTRY_SERVICE_H_
--- /dev/null
+++ b/src/hemlockpoint/node/fwd.h
@@ -0,0 +1,15 @@
+#ifndef HEMLOCKPOINT_NODE_FWD_H_
+#define HEMLOCKPOINT_NODE_FWD_H_
+
+namespace hemlockpoint {
+
+struct NodeCore;
+class EntryService;
+class TargetGate;
+class MembershipClient;
+class AdminService;
+class Node;
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_NODE_FWD_H_
--- /dev/null
+++ b/src/hemlockpoint/node/node.cc
@@ -0,0 +1,260 @@
+#include "hemlockpoint/node/node.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "hemlockpoint/control/control_service.h"
+#include "hemlockpoint/http/server.h"
+#include "hemlockpoint/log/log.h"
+#include "hemlockpoint/node/admin_service.h"
+#include "hemlockpoint/node/core.h"
+#include "hemlockpoint/node/entry_service.h"
+#include "hemlockpoint/node/membership_client.h"
+#include "hemlockpoint/node/status.h"
+#include "hemlockpoint/node/target_gate.h"
+#include "hemlockpoint/report/refusal_json.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+// Others learn within this time that the node is leaving.
+constexpr Millis kLeavingNotice(500);
+constexpr Millis kDrainPoll(20);
+constexpr Millis kCloseTimeout(1000);
+constexpr Millis kHousekeepingPeriod(1000);
+constexpr unsigned kBadRequest = 400;
+
+HttpServerLimits LimitsOf(const Settings& settings) {
+  HttpServerLimits limits;
+  limits.m_header_bytes = settings.m_limits.m_header_bytes;
+  limits.m_body_bytes = settings.m_limits.m_body_bytes;
+  limits.m_connections = settings.m_limits.m_connections;
+  return limits;
+}
+
+Hello HelloOf(const NodeCore& core) {
+  Hello hello;
+  hello.m_group = core.m_settings.m_group;
+  hello.m_node = core.m_settings.m_node;
+  hello.m_incarnation = core.m_incarnation;
+  return hello;
+}
+
+AdminResponse JsonResponse(const nlohmann::ordered_json& json) {
+  AdminResponse response;
+  response.m_body =
+      json.dump(-1, ' ', false,
+                nlohmann::ordered_json::error_handler_t::replace) +
+      "\n";
+  return response;
+}
+
+}  // namespace
+
+struct Node::State {
+  State(const Settings& settings, FiberLoop& loop)
+      : m_settings(settings),
+        m_loop(loop),
+        m_core(settings, loop),
+        m_links(loop,
+                HelloOf(m_core),
+                settings.m_limits.m_calls,
+                {[this](InboundCall call) { ServeCall(std::move(call)); },
+                 [this](LinkId link, const NodeId&, const Message& message) {
+                   Dispatch(link, message);
+                 },
+                 [this](LinkId link, const NodeId&) { LinkClosed(link); }}),
+        m_gate(m_core),
+        m_membership(m_core, m_gate),
+        m_entry(m_core,
+                m_gate,
+                [this](const ServiceName& service) {
+                  m_membership.WantService(service);
+                }),
+        m_http(loop,
+               LimitsOf(settings),
+               [this](HttpExchange& exchange) { m_entry.Serve(exchange); }),
+        m_admin_http(loop, LimitsOf(settings), [this](HttpExchange& exchange) {
+          m_admin.Serve(exchange);
+        }) {
+    m_core.m_links = &m_links;
+    if (settings.m_is_control) {
+      m_control = std::make_unique<ControlService>(settings, loop, m_links);
+    }
+    AddOperations();
+  }
+
+  void ServeCall(InboundCall call) {
+    m_loop.Spawn([this, shared = std::make_shared<InboundCall>(std::move(
+                            call))] { m_gate.Serve(std::move(*shared)); });
+  }
+
+  void Dispatch(LinkId link, const Message& message) {
+    if (const auto* ack = std::get_if<HeartbeatAck>(&message)) {
+      m_membership.Handle(link, *ack);
+    } else if (const auto* delta = std::get_if<DirectoryDelta>(&message)) {
+      m_membership.Handle(*delta);
+    } else if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+      if (m_control) {
+        m_control->Handle(link, *heartbeat);
+      }
+    }
+  }
+
+  void LinkClosed(LinkId link) {
+    if (m_control) {
+      m_control->OnLinkClosed(link);
+    }
+  }
+
+  void AddOperations() {
+    m_admin.Add("POST /hemlock/v1/announce",
+                [this](const AdminRequest& r) { return Announce(r); });
+    m_admin.Add("GET /hemlock/v1/status", [this](const AdminRequest&) {
+      return JsonResponse(NodeStatus(m_core, m_gate, m_membership));
+    });
+    m_admin.Add("GET /hemlock/v1/members", [this](const AdminRequest&) {
+      return JsonResponse(MembersJson());
+    });
+    m_admin.Add("GET /hemlock/v1/explain",
+                [this](const AdminRequest& r) { return Explain(r); });
+    m_admin.Add("GET /metrics", [this](const AdminRequest&) {
+      AdminResponse response;
+      response.m_content_type = "text/plain; version=0.0.4";
+      response.m_body = MetricsText(m_core, m_gate);
+      return response;
+    });
+  }
+
+  AdminResponse Announce(const AdminRequest& request) {
+    const Result<TargetAnnouncement> announcement =
+        ParseAnnouncement(request.m_body);
+    if (!announcement) {
+      return AdminError(kBadRequest, announcement.reason());
+    }
+    const TargetSummary before = m_gate.Summary();
+    m_gate.Announce(*announcement);
+    const TargetSummary after = m_gate.Summary();
+    if (before.m_service != after.m_service ||
+        before.m_leaving != after.m_leaving) {
+      m_membership.HeartbeatSoon();
+    }
+    nlohmann::ordered_json json;
+    json["node"] = m_settings.m_node.value();
+    json["entry"] = ToText(m_settings.m_http);
+    return JsonResponse(json);
+  }
+
+  AdminResponse Explain(const AdminRequest& request) const {
+    const auto id = request.m_query.find("request_id");
+    if (id == request.m_query.end() || id->second.empty()) {
+      return AdminError(kBadRequest, "request_id is missing");
+    }
+    nlohmann::ordered_json decisions = nlohmann::ordered_json::array();
+    for (const Decision& decision :
+         m_core.m_decisions.Find(RequestId(id->second))) {
+      decisions.push_back(ToJson(decision));
+    }
+    nlohmann::ordered_json json;
+    json["node"] = m_settings.m_node.value();
+    json["decisions"] = decisions;
+    return JsonResponse(json);
+  }
+
+  nlohmann::ordered_json MembersJson() const {
+    nlohmann::ordered_json members = nlohmann::ordered_json::array();
+    if (m_control) {
+      for (const auto& [node, member] : m_control->directory().m_members) {
+        if (!member.m_gone) {
+          members.push_back(ToJson(member.m_entry));
+        }
+      }
+    }
+    return {{"members", members}};
+  }
+
+  std::optional<std::string> Start() {
+    auto error = m_links.Listen(m_settings.m_peer);
+    if (!error) {
+      error = m_admin_http.Listen(m_settings.m_admin);
+    }
+    if (!error && m_settings.m_is_node) {
+      error = m_http.Listen(m_settings.m_http);
+    }
+    if (error) {
+      return error;
+    }
+    if (m_control) {
+      m_control->Start();
+    }
+    m_loop.Spawn([this] { m_membership.Run(); });
+    m_loop.SpawnPeriodic(TargetGate::kTickPeriod, [this] { m_gate.Tick(); });
+    m_loop.SpawnPeriodic(kHousekeepingPeriod, [this] { Housekeep(); });
+    return std::nullopt;
+  }
+
+  void Housekeep() {
+    const Millis now = SteadyNow();
+    ForgetOldThresholds(m_core.m_entry.m_thresholds, now);
+    ForgetExpired(m_core.m_entry.m_quarantine, now);
+  }
+
+  bool InFlight() const {
+    return m_core.m_entry_calls > 0 || m_gate.calls() > 0;
+  }
+
+  void DrainAndStop() {
+    LogLine(LogLevel::kInfo, "draining");
+    m_core.m_leaving = true;
+    m_gate.BeginLeaving();
+    m_membership.HeartbeatSoon();
+    const Millis give_up = SteadyNow() + m_settings.m_drain_timeout;
+    SleepFor(kLeavingNotice);
+    while (InFlight() && SteadyNow() < give_up) {
+      SleepFor(kDrainPoll);
+    }
+    m_http.Drain();
+    while (InFlight() && SteadyNow() < give_up) {
+      SleepFor(kDrainPoll);
+    }
+    LogLine(LogLevel::kInfo, "drained")
+        .With("cut_off", static_cast<std::uint64_t>(m_core.m_entry_calls +
+                                                    m_gate.calls()));
+    m_admin_http.Drain();
+    m_links.Shutdown();
+    const Millis closed_by = SteadyNow() + kCloseTimeout;
+    while (m_links.links() > 0 && SteadyNow() < closed_by) {
+      SleepFor(kDrainPoll);
+    }
+    m_loop.Stop();
+    m_membership.HeartbeatSoon();
+  }
+
+  const Settings& m_settings;
+  FiberLoop& m_loop;
+  NodeCore m_core;
+  LinkLayer m_links;
+  TargetGate m_gate;
+  MembershipClient m_membership;
+  EntryService m_entry;
+  AdminService m_admin;
+  HttpServer m_http;
+  HttpServer m_admin_http;
+  std::unique_ptr<ControlService> m_control;
+};
+
+Node::Node(const Settings& settings, FiberLoop& loop)
+    : m_state(std::make_unique<State>(settings, loop)) {}
+
+Node::~Node() = default;
+
+std::optional<std::string> Node::Start() {
+  return m_state->Start();
+}
+
+void Node::DrainAndStop() {
+  m_state->DrainAndStop();
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/node/target_gate.cc
@@ -0,0 +1,475 @@
+#include "hemlockpoint/node/target_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "hemlockpoint/entry/caller_request.h"
+#include "hemlockpoint/log/log.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr Millis kConnectTimeout(500);
+// A target that stops announcing itself gets no new work.
+constexpr Millis kAnnouncementLease(3000);
+constexpr Millis kProbeInterval(50);
+constexpr int kProbeCount = 20;
+constexpr Millis kLeavingRetryAfter(100);
+constexpr std::size_t kMaxChildKinds = 32;
+
+Refusal NotReady(Reason reason) {
+  Refusal refusal = RefuseBySignal(reason, {"target_ready", 0, 1});
+  refusal.m_retry_after = kLeavingRetryAfter;
+  return refusal;
+}
+
+}  // namespace
+
+// One call at this target's node, from its arrival to its end.
+struct TargetGate::Session {
+  enum class Verdict { kWaiting, kRun, kDropped };
+
+  CallId m_id;
+  InboundCall m_call;
+  Millis m_deadline;
+  KindName m_kind;
+  std::string m_record_id;
+  Verdict m_verdict = Verdict::kWaiting;
+  Refusal m_drop;
+  std::unique_ptr<HttpClientCall> m_http;
+  /// Bytes of the request may have reached the target.
+  bool m_handed_over = false;
+  bool m_overdue = false;
+  bool m_answer_started = false;
+  bool m_suspect = false;
+};
+
+TargetGate::TargetGate(NodeCore& core) : m_core(core) {
+  m_admission.m_queue_bound = core.m_settings.m_queue_entries;
+  m_admission.m_pass_through = core.m_settings.m_pass_through;
+}
+
+TargetGate::~TargetGate() = default;
+
+void TargetGate::Announce(const TargetAnnouncement& announcement) {
+  const Millis now = SteadyNow();
+  const bool restarted =
+      !m_target || m_target->m_incarnation != announcement.m_incarnation ||
+      !(m_target->m_endpoint == announcement.m_endpoint);
+  if (restarted) {
+    ConfirmCrash();
+    m_pool = std::make_unique<HttpClientPool>(m_core.m_loop.io(),
+                                              announcement.m_endpoint,
+                                              announcement.m_connections);
+    LogLine(LogLevel::kInfo, "target_announced")
+        .With("service", announcement.m_service.value())
+        .With("address", ToText(announcement.m_endpoint))
+        .With("slots", announcement.m_slots);
+  }
+  if (m_target && announcement.m_draining && !m_target->m_draining) {
+    LogLine(LogLevel::kInfo, "target_draining")
+        .With("service", announcement.m_service.value());
+  }
+  m_lost = false;
+  m_target = announcement;
+  m_last_announcement = now;
+  AnnounceSlots(m_admission.m_limit, static_cast<double>(announcement.m_slots),
+                restarted, now);
+  if (announcement.m_draining) {
+    ApplyDrops(DropQueued(m_admission, Reason::kTargetLeaving));
+  }
+}
+
+TargetSummary TargetGate::Summary() const {
+  TargetSummary summary;
+  if (!m_target) {
+    return summary;
+  }
+  summary.m_service = m_target->m_service;
+  summary.m_slots = m_target->m_slots;
+  summary.m_connections = m_target->m_connections;
+  summary.m_leaving = m_target->m_draining || m_admission.m_leaving || m_lost;
+  return summary;
+}
+
+void TargetGate::RecordChildKind(const KindName& parent,
+                                 const KindName& child) {
+  std::set<KindName>& children = m_child_kinds[parent];
+  if (children.size() < kMaxChildKinds) {
+    children.insert(child);
+  }
+}
+
+LoadReport TargetGate::Load(const KindName& kind) const {
+  const Millis now = SteadyNow();
+  LoadReport load;
+  load.m_in_flight = m_admission.m_running.size();
+  load.m_queued = m_admission.m_queue.m_size;
+  load.m_limit = static_cast<double>(LimitNow(m_admission.m_limit, now));
+  load.m_leaving = Summary().m_leaving;
+  load.m_threshold = m_admission.m_shed.m_threshold;
+  const auto children = m_child_kinds.find(kind);
+  if (children != m_child_kinds.end()) {
+    for (const KindName& child : children->second) {
+      // One told threshold is enough here, since the calls of this service
+      // see the child's targets through their own node only.
+      load.m_threshold =
+          std::min(load.m_threshold,
+                   EntryThreshold(m_core.m_entry.m_thresholds, child, 1, now));
+    }
+  }
+  return load;
+}
+
+std::optional<Refusal> TargetGate::CheckBeforeQueue(
+    const InboundCall& call) const {
+  if (m_admission.m_leaving) {
+    return NotReady(Reason::kNodeLeaving);
+  }
+  if (!m_target || m_target->m_draining) {
+    return NotReady(Reason::kTargetLeaving);
+  }
+  if (m_lost) {
+    return NotReady(Reason::kTargetUnreachable);
+  }
+  if (m_target->m_service != call.m_start.m_request.m_service) {
+    return NotReady(Reason::kTargetUnreachable);
+  }
+  const Millis silence = SteadyNow() - m_last_announcement;
+  if (silence > kAnnouncementLease) {
+    Refusal refusal = RefuseBySignal(
+        Reason::kTargetLeaving,
+        {"announcement_age_ms", silence.value(), kAnnouncementLease.value()});
+    refusal.m_retry_after = kLeavingRetryAfter;
+    return refusal;
+  }
+  const auto suspicion =
+      StateOf(m_core.m_entry.m_quarantine, call.m_start.m_terms.m_fingerprint,
+              SteadyNow());
+  if (suspicion == SuspectState::kQuarantined && !m_admission.m_pass_through) {
+    return RefuseBySignal(Reason::kQuarantined, {"target_crashes", 2, 2});
+  }
+  return std::nullopt;
+}
+
+void TargetGate::Serve(InboundCall call) {
+  ++m_core.m_counters.m_target_calls;
+  Session session;
+  session.m_id = CallId(++m_last_session);
+  session.m_call = std::move(call);
+  const CallStart& start = session.m_call.m_start;
+  session.m_deadline = SteadyNow() + start.m_terms.m_time_left;
+  session.m_kind = KindOf(start.m_request.m_service, start.m_request.m_method,
+                          start.m_request.m_path);
+  session.m_record_id = m_core.m_settings.m_node.value() + "-" +
+                        std::to_string(m_core.m_incarnation) + "-" +
+                        std::to_string(session.m_id.value());
+  m_sessions[session.m_id] = &session;
+  const auto refusal = CheckBeforeQueue(session.m_call);
+  if (refusal) {
+    Refuse(session, *refusal, "refused");
+  } else if (AwaitDispatch(session)) {
+    Run(session);
+    FinishCall(m_admission, session.m_id);
+    Pump();
+  } else if (!session.m_call.m_state->m_cancelled) {
+    Refuse(session, session.m_drop, "refused");
+  }
+  session.m_call.m_state->m_on_cancel = nullptr;
+  m_sessions.erase(session.m_id);
+}
+
+bool TargetGate::AwaitDispatch(Session& session) {
+  const CallTerms& terms = session.m_call.m_start.m_terms;
+  CallState& state = *session.m_call.m_state;
+  const auto suspicion =
+      StateOf(m_core.m_entry.m_quarantine, terms.m_fingerprint, SteadyNow());
+  session.m_suspect = terms.m_suspect || suspicion.has_value();
+  OfferedCall offered;
+  offered.m_call = session.m_id;
+  offered.m_root = terms.m_root;
+  offered.m_class = terms.m_class;
+  offered.m_kind = session.m_kind;
+  offered.m_deadline = session.m_deadline;
+  offered.m_long = terms.m_long;
+  offered.m_suspect = session.m_suspect;
+  state.m_on_cancel = [this, &session] {
+    if (session.m_http) {
+      session.m_http->Cancel();
+    } else if (CancelQueued(m_admission, session.m_id)) {
+      session.m_verdict = Session::Verdict::kDropped;
+    }
+  };
+  if (state.m_cancelled) {
+    return false;
+  }
+  ApplyDrops(Offer(m_admission, offered, SteadyNow()));
+  Pump();
+  state.m_changed.Wait(
+      [&] { return session.m_verdict != Session::Verdict::kWaiting; });
+  return session.m_verdict == Session::Verdict::kRun;
+}
+
+void TargetGate::ApplyDrops(const std::vector<DroppedCall>& dropped) {
+  for (const DroppedCall& drop : dropped) {
+    const auto found = m_sessions.find(drop.m_call);
+    if (found == m_sessions.end()) {
+      continue;
+    }
+    Session& session = *found->second;
+    session.m_verdict = Session::Verdict::kDropped;
+    session.m_drop = drop.m_refusal;
+    session.m_call.m_state->m_changed.Notify();
+  }
+}
+
+void TargetGate::Pump() {
+  const DispatchStep step = Dispatch(m_admission, SteadyNow());
+  ApplyDrops(step.m_dropped);
+  for (const CallId id : step.m_run) {
+    Session& session = *m_sessions.at(id);
+    session.m_verdict = Session::Verdict::kRun;
+    session.m_call.m_state->m_changed.Notify();
+  }
+}
+
+void TargetGate::Run(Session& session) {
+  auto opened = m_pool->Open(kConnectTimeout);
+  if (!opened) {
+    LogLine(LogLevel::kWarning, "target_unreachable")
+        .With("request_id", session.m_call.m_start.m_terms.m_root.value())
+        .With("reason", opened.reason());
+    OnConnectionLost();
+    Refuse(session, NotReady(Reason::kTargetUnreachable), "refused");
+    return;
+  }
+  session.m_http = std::move(*opened);
+  if (session.m_call.m_state->m_cancelled) {
+    return;
+  }
+  ++m_core.m_counters.m_dispatched;
+  const CallTerms& terms = session.m_call.m_start.m_terms;
+  InboundRecord& record = m_core.m_records[session.m_record_id];
+  record.m_root = terms.m_root;
+  record.m_caller = terms.m_caller;
+  record.m_kind = session.m_kind;
+  record.m_class = terms.m_class;
+  record.m_depth = terms.m_depth;
+  record.m_deadline = session.m_deadline;
+  record.m_budget.m_left = terms.m_extra_attempts;
+  record.m_budget.m_repeat = terms.m_repeat;
+  std::optional<HttpResponseHead> head;
+  if (HandOver(session)) {
+    head = session.m_http->ReadHead();
+  }
+  if (head) {
+    RecordAnswered(m_admission, session.m_id, SteadyNow());
+    RecordSurvival(m_core.m_entry.m_quarantine, terms.m_fingerprint);
+    RelayAnswer(session, *head);
+  } else {
+    EndWithoutAnswer(session);
+  }
+  EndRecord(m_core.m_records, session.m_record_id);
+}
+
+bool TargetGate::HandOver(Session& session) {
+  const CallStart& start = session.m_call.m_start;
+  HttpRequestHead head;
+  head.m_method = start.m_request.m_method;
+  head.m_path = start.m_request.m_path;
+  head.m_headers = start.m_request.m_headers;
+  head.m_content_length = start.m_request.m_content_length;
+  const Millis left = session.m_deadline - SteadyNow();
+  head.m_headers.push_back(
+      {field::kDeadline, std::to_string(std::max(0.0, left.value()))});
+  head.m_headers.push_back({field::kCallId, session.m_record_id});
+  head.m_headers.push_back({field::kRequestId, start.m_terms.m_root.value()});
+  head.m_headers.push_back({field::kCaller, start.m_terms.m_caller.value()});
+  session.m_handed_over = true;
+  if (start.m_complete) {
+    std::string body;
+    if (session.m_call.m_state->m_request_body.buffered() > 0) {
+      body = session.m_call.m_state->m_request_body.Pop().value_or("");
+    }
+    return session.m_http->SendHead(head, body, true);
+  }
+  return session.m_http->SendHead(head, {}, false) && SendRequestBody(session);
+}
+
+bool TargetGate::SendRequestBody(Session& session) {
+  session.m_call.m_sender->GrantBody();
+  BodyPipe& body = session.m_call.m_state->m_request_body;
+  while (true) {
+    const auto bytes = body.Pop();
+    if (!bytes) {
+      session.m_http->Cancel();
+      return false;
+    }
+    if (!session.m_http->SendBody(*bytes, bytes->empty())) {
+      return false;
+    }
+    if (bytes->empty()) {
+      return true;
+    }
+  }
+}
+
+void TargetGate::RelayAnswer(Session& session, const HttpResponseHead& head) {
+  session.m_answer_started = true;
+  AnswerStart answer;
+  answer.m_status = head.m_status;
+  answer.m_headers = head.m_headers;
+  answer.m_load = Load(session.m_kind);
+  const auto record = m_core.m_records.find(session.m_record_id);
+  if (record != m_core.m_records.end()) {
+    answer.m_spent = record->second.m_budget.m_spent;
+  }
+  std::optional<std::string> bytes = session.m_http->ReadBody();
+  std::uint64_t relayed = bytes ? bytes->size() : 0;
+  answer.m_complete =
+      bytes && (bytes->empty() || relayed == head.m_content_length);
+  if (head.m_content_length && !answer.m_complete) {
+    answer.m_headers.push_back(
+        {"Content-Length", std::to_string(*head.m_content_length)});
+  }
+  answer.m_body.m_data = bytes.value_or("");
+  bool complete = answer.m_complete;
+  bool wanted = session.m_call.m_sender->SendAnswer(std::move(answer));
+  while (wanted && bytes && !complete) {
+    bytes = session.m_http->ReadBody();
+    if (bytes) {
+      relayed += bytes->size();
+      complete = bytes->empty() || relayed == head.m_content_length;
+      wanted = session.m_call.m_sender->SendBody(std::move(*bytes), complete);
+    }
+  }
+  if (!complete) {
+    session.m_http->Cancel();
+    session.m_call.m_sender->Cut("the target's answer was cut off");
+  }
+}
+
+void TargetGate::EndWithoutAnswer(Session& session) {
+  session.m_http->Cancel();
+  if (session.m_call.m_state->m_cancelled) {
+    return;
+  }
+  if (session.m_overdue) {
+    const Millis over = SteadyNow() - session.m_deadline;
+    Refuse(session,
+           EndedUnknown(Reason::kDeadlinePassed,
+                        {"ms_past_deadline", over.value(), 0}),
+           "ended");
+    return;
+  }
+  OnConnectionLost();
+  Refuse(session, EndedUnknown(Reason::kTargetLost, {"connection_lost", 1, 0}),
+         "ended");
+}
+
+void TargetGate::Refuse(Session& session, Refusal refusal, const char* action) {
+  const CallStart& start = session.m_call.m_start;
+  refusal.m_node = m_core.m_settings.m_node;
+  Decision decision;
+  decision.m_unix_ms = UnixMillis();
+  decision.m_root = start.m_terms.m_root;
+  decision.m_hop = "target";
+  decision.m_service = start.m_request.m_service;
+  decision.m_method = start.m_request.m_method;
+  decision.m_path = start.m_request.m_path;
+  decision.m_refusal = refusal;
+  decision.m_action = action;
+  m_core.m_decisions.Add(std::move(decision));
+  LogLine(LogLevel::kDebug, "target_refused")
+      .With("request_id", start.m_terms.m_root.value())
+      .With("outcome", ToText(refusal.m_execution))
+      .With("reason", ToText(refusal.m_reason));
+  AnswerStart answer;
+  answer.m_refusal = std::move(refusal);
+  answer.m_load = Load(session.m_kind);
+  const auto record = m_core.m_records.find(session.m_record_id);
+  if (record != m_core.m_records.end()) {
+    answer.m_spent = record->second.m_budget.m_spent;
+  }
+  session.m_call.m_sender->SendAnswer(std::move(answer));
+}
+
+void TargetGate::Tick() {
+  const Millis now = SteadyNow();
+  m_admission.m_long_share = m_core.m_entry.m_policy->m_long_share;
+  ApplyDrops(AdvanceAdmission(m_admission, now));
+  Pump();
+  EndOverdue(now);
+}
+
+// The answer's head is awaited by a fiber that only its connection can wake.
+void TargetGate::EndOverdue(Millis now) {
+  for (const auto& [id, session] : m_sessions) {
+    const bool overdue = session->m_http && !session->m_answer_started &&
+                         now > session->m_deadline;
+    if (overdue && !session->m_overdue) {
+      session->m_overdue = true;
+      session->m_http->Cancel();
+    }
+  }
+}
+
+void TargetGate::BeginLeaving() {
+  m_admission.m_leaving = true;
+  ApplyDrops(DropQueued(m_admission, Reason::kNodeLeaving));
+}
+
+// Every connection breaks at a crash, so the first one to be noticed stands
+// for all calls then in flight.
+void TargetGate::OnConnectionLost() {
+  if (m_probing || m_lost) {
+    return;
+  }
+  m_loss.clear();
+  for (const auto& [id, session] : m_sessions) {
+    if (session->m_handed_over && !session->m_answer_started) {
+      m_loss.push_back(
+          {session->m_call.m_start.m_terms.m_fingerprint, session->m_suspect});
+    }
+  }
+  m_probing = true;
+  m_core.m_loop.Spawn([this] {
+    ProbeAfterLoss();
+    m_probing = false;
+  });
+}
+
+// A single broken connection is no crash; a refused new one is.
+void TargetGate::ProbeAfterLoss() {
+  HttpClientPool probe(m_core.m_loop.io(), m_target->m_endpoint, 1);
+  for (int i = 0; i < kProbeCount; ++i) {
+    auto opened = probe.Open(kConnectTimeout);
+    if (!opened) {
+      m_lost = true;
+      ConfirmCrash();
+      ApplyDrops(DropQueued(m_admission, Reason::kTargetUnreachable));
+      return;
+    }
+    (*opened)->Cancel();
+    if (m_loss.empty()) {
+      return;
+    }
+    SleepFor(kProbeInterval);
+  }
+  m_loss.clear();
+}
+
+void TargetGate::ConfirmCrash() {
+  if (m_loss.empty()) {
+    return;
+  }
+  const auto changed =
+      RecordCrash(m_core.m_entry.m_quarantine, m_loss, SteadyNow());
+  LogLine(LogLevel::kWarning, "target_crashed")
+      .With("in_flight", static_cast<std::uint64_t>(m_loss.size()))
+      .With("suspects", static_cast<std::uint64_t>(changed.size()));
+  m_loss.clear();
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/policy/fwd.h
@@ -0,0 +1,14 @@
+#ifndef HEMLOCKPOINT_POLICY_FWD_H_
+#define HEMLOCKPOINT_POLICY_FWD_H_
+
+namespace hemlockpoint {
+
+struct Policy;
+struct PolicySection;
+struct PolicyDocument;
+struct WorkPattern;
+struct CallVerdict;
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_POLICY_FWD_H_
--- /dev/null
+++ b/src/hemlockpoint/quarantine/quarantine.cc
@@ -0,0 +1,96 @@
+#include "hemlockpoint/quarantine/quarantine.h"
+
+#include <algorithm>
+
+namespace hemlockpoint {
+
+namespace {
+
+void MakeRoom(QuarantineTable& table) {
+  if (table.m_entries.size() < kMaxSuspects) {
+    return;
+  }
+  const auto first =
+      std::min_element(table.m_entries.begin(), table.m_entries.end(),
+                       [](const auto& a, const auto& b) {
+                         return a.second.m_expires < b.second.m_expires;
+                       });
+  table.m_entries.erase(first);
+}
+
+void Put(QuarantineTable& table,
+         Fingerprint request,
+         const SuspectEntry& entry) {
+  if (table.m_entries.count(request) == 0) {
+    MakeRoom(table);
+  }
+  table.m_entries[request] = entry;
+}
+
+}  // namespace
+
+std::vector<Fingerprint> RecordCrash(QuarantineTable& table,
+                                     const std::vector<CrashedCall>& in_flight,
+                                     Millis now) {
+  const bool has_suspect =
+      std::any_of(in_flight.begin(), in_flight.end(),
+                  [](const CrashedCall& call) { return call.m_was_suspect; });
+  std::vector<Fingerprint> changed;
+  for (const CrashedCall& call : in_flight) {
+    if (call.m_was_suspect) {
+      Put(table, call.m_fingerprint,
+          {SuspectState::kQuarantined, now + kQuarantineFor});
+      changed.push_back(call.m_fingerprint);
+    } else if (!has_suspect && !StateOf(table, call.m_fingerprint, now)) {
+      Put(table, call.m_fingerprint,
+          {SuspectState::kSuspect, now + kSuspectFor});
+      changed.push_back(call.m_fingerprint);
+    }
+  }
+  return changed;
+}
+
+bool RecordSurvival(QuarantineTable& table, Fingerprint request) {
+  const auto found = table.m_entries.find(request);
+  const bool suspect = found != table.m_entries.end() &&
+                       found->second.m_state == SuspectState::kSuspect;
+  if (suspect) {
+    table.m_entries.erase(found);
+  }
+  return suspect;
+}
+
+std::optional<SuspectState> StateOf(const QuarantineTable& table,
+                                    Fingerprint request,
+                                    Millis now) {
+  const auto found = table.m_entries.find(request);
+  if (found == table.m_entries.end() || found->second.m_expires <= now) {
+    return std::nullopt;
+  }
+  return found->second.m_state;
+}
+
+void Merge(QuarantineTable& table,
+           Fingerprint request,
+           const SuspectEntry& entry) {
+  const auto found = table.m_entries.find(request);
+  const bool weaker = found != table.m_entries.end() &&
+                      found->second.m_state == SuspectState::kQuarantined &&
+                      entry.m_state == SuspectState::kSuspect;
+  if (!weaker) {
+    Put(table, request, entry);
+  }
+}
+
+bool Lift(QuarantineTable& table, Fingerprint request) {
+  return table.m_entries.erase(request) != 0;
+}
+
+void ForgetExpired(QuarantineTable& table, Millis now) {
+  for (auto entry = table.m_entries.begin(); entry != table.m_entries.end();) {
+    const bool expired = entry->second.m_expires <= now;
+    entry = expired ? table.m_entries.erase(entry) : std::next(entry);
+  }
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/retry/fwd.h
@@ -0,0 +1,12 @@
+#ifndef HEMLOCKPOINT_RETRY_FWD_H_
+#define HEMLOCKPOINT_RETRY_FWD_H_
+
+namespace hemlockpoint {
+
+struct RatioBucket;
+struct CallBudget;
+struct ResendTable;
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_RETRY_FWD_H_
--- /dev/null
+++ b/src/hemlockpoint/retry/next_step.cc
@@ -0,0 +1,37 @@
+#include "hemlockpoint/retry/next_step.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+bool IsLoadRelated(Reason reason) {
+  return reason == Reason::kQueueFull ||
+         reason == Reason::kDeadlineUnreachable ||
+         reason == Reason::kNodeOverloaded;
+}
+
+bool IsLossWorthRepeating(Reason reason) {
+  return reason == Reason::kTargetLost || reason == Reason::kNodeLost;
+}
+
+}  // namespace
+
+NextStep DecideNextStep(const Refusal& refusal, const AttemptEnd& end) {
+  if (!end.m_time_left || !end.m_replayable) {
+    return NextStep::kGiveUp;
+  }
+  if (refusal.m_execution == Execution::kUnknown) {
+    const bool repeat =
+        end.m_idempotent && IsLossWorthRepeating(refusal.m_reason);
+    return repeat ? NextStep::kRetry : NextStep::kGiveUp;
+  }
+  if (!IsWorthAnotherTarget(refusal)) {
+    return NextStep::kGiveUp;
+  }
+  if (IsLoadRelated(refusal.m_reason)) {
+    return NextStep::kRetry;
+  }
+  return end.m_reroutes < kMaxReroutes ? NextStep::kReroute : NextStep::kGiveUp;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/retry/resend.cc
@@ -0,0 +1,62 @@
+#include "hemlockpoint/retry/resend.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+// Callers beyond the bound share one bucket.
+RatioBucket& BucketOf(ResendTable& table, const CallerName& caller) {
+  const auto found = table.m_callers.find(caller);
+  if (found != table.m_callers.end()) {
+    return found->second;
+  }
+  const bool full = table.m_callers.size() + 1 >= kMaxCallers;
+  return table.m_callers[full ? CallerName("other") : caller];
+}
+
+}  // namespace
+
+ResendVerdict JudgeResend(ResendTable& table,
+                          const CallerName& caller,
+                          Fingerprint request,
+                          double ratio,
+                          Millis now) {
+  RatioBucket& bucket = BucketOf(table, caller);
+  ResendVerdict verdict;
+  const auto found = table.m_failures.find(request);
+  if (found == table.m_failures.end() ||
+      now - found->second.m_when > kResendWindow) {
+    EarnRepeat(bucket, ratio);
+    return verdict;
+  }
+  FailedRequest& failure = found->second;
+  verdict.m_is_resend = true;
+  verdict.m_root = failure.m_root;
+  const bool is_free = failure.m_not_run && now >= failure.m_free_after;
+  verdict.m_allowed = is_free || SpendRepeat(bucket);
+  if (--failure.m_count == 0) {
+    // The order keeps the fingerprint until it comes to the front.
+    table.m_failures.erase(found);
+  }
+  return verdict;
+}
+
+void RememberFailure(ResendTable& table,
+                     Fingerprint request,
+                     const FailedRequest& failure) {
+  const auto found = table.m_failures.find(request);
+  if (found != table.m_failures.end()) {
+    const std::uint64_t count = found->second.m_count + 1;
+    found->second = failure;
+    found->second.m_count = count;
+    return;
+  }
+  table.m_failures.emplace(request, failure);
+  table.m_order.push_back(request);
+  while (table.m_order.size() > kMaxRememberedFailures) {
+    table.m_failures.erase(table.m_order.front());
+    table.m_order.pop_front();
+  }
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/routing/balancer.cc
@@ -0,0 +1,213 @@
+#include "hemlockpoint/routing/balancer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr Millis kLoadFreshFor(250);
+constexpr double kSlownessWeight = 0.2;
+// An estimate that no answer renews is forgotten, so that a target that has
+// recovered gets calls again.
+constexpr Millis kSlownessMemory(10'000);
+constexpr Millis kSlowStart(5000);
+constexpr double kSlowStartShare = 0.1;
+constexpr std::uint64_t kFailuresToEject = 3;
+constexpr double kSlownessToEject = 4;
+constexpr std::uint64_t kAnswersToEject = 5;
+constexpr Millis kFirstEjection(2000);
+constexpr Millis kLongestEjection(30'000);
+constexpr double kEjectedShare = 1.0 / 3;
+// A target in another region must be this much less loaded to be preferred.
+constexpr double kOtherRegionFactor = 4;
+
+bool IsEjected(const TargetView& target, Millis now) {
+  return now < target.m_ejected_until ||
+         (target.m_on_probation && target.m_outstanding > 0);
+}
+
+bool IsUsable(const TargetView& target, Millis now) {
+  return !target.m_leaving && !IsEjected(target, now);
+}
+
+double CurrentSlowness(const TargetView& target, Millis now) {
+  const double age = (now - target.m_slowness_time) / kSlownessMemory;
+  return 1 + (target.m_slowness - 1) * std::exp(-std::max(0.0, age));
+}
+
+// Counts the target that would be ejected next as ejected.
+bool MayEjectOneMore(const Balancer& balancer, Millis now) {
+  double ejected = 1;
+  for (const auto& [node, target] : balancer.m_targets) {
+    ejected += now < target.m_ejected_until || target.m_on_probation ? 1 : 0;
+  }
+  const auto count = static_cast<double>(balancer.m_targets.size());
+  return count > 1 && ejected <= std::max(1.0, count * kEjectedShare);
+}
+
+void Eject(const Balancer& balancer, TargetView& target, Millis now) {
+  if (!target.m_on_probation && !MayEjectOneMore(balancer, now)) {
+    return;
+  }
+  const double doublings = static_cast<double>(target.m_ejections);
+  const Millis time = kFirstEjection * std::pow(2.0, doublings);
+  target.m_ejected_until = now + Min(time, kLongestEjection);
+  target.m_on_probation = true;
+  target.m_failures_in_row = 0;
+  ++target.m_ejections;
+}
+
+// Answers to calls that were sent before the ejection say nothing new.
+void JudgeProbation(const Balancer& balancer,
+                    TargetView& target,
+                    double slowness,
+                    Millis now) {
+  if (now < target.m_ejected_until) {
+    return;
+  }
+  if (slowness >= kSlownessToEject / 2) {
+    Eject(balancer, target, now);
+    return;
+  }
+  target.m_on_probation = false;
+  target.m_slowness = 1;
+  target.m_answers = 0;
+  target.m_ejections -= target.m_ejections > 0 ? 1 : 0;
+}
+
+void RecordAnswer(Balancer& balancer,
+                  TargetView& target,
+                  const KindName& kind,
+                  Millis duration,
+                  Millis now) {
+  const Millis mean = ExpectedDuration(balancer.m_durations, kind);
+  RecordDuration(balancer.m_durations, kind, duration, now);
+  target.m_failures_in_row = 0;
+  ++target.m_answers;
+  if (mean <= Millis(0)) {
+    return;
+  }
+  const double sample = duration / mean;
+  const double before = CurrentSlowness(target, now);
+  target.m_slowness = before + (sample - before) * kSlownessWeight;
+  target.m_slowness_time = now;
+  if (target.m_on_probation) {
+    JudgeProbation(balancer, target, sample, now);
+  } else if (target.m_slowness > kSlownessToEject &&
+             target.m_answers >= kAnswersToEject) {
+    Eject(balancer, target, now);
+  }
+}
+
+std::vector<const TargetView*> Candidates(const Balancer& balancer,
+                                          const std::vector<NodeId>& excluded,
+                                          Millis now,
+                                          bool with_ejected) {
+  std::vector<const TargetView*> candidates;
+  for (const auto& [node, target] : balancer.m_targets) {
+    const bool tried =
+        std::find(excluded.begin(), excluded.end(), node) != excluded.end();
+    const bool usable =
+        with_ejected ? !target.m_leaving : IsUsable(target, now);
+    if (!tried && usable) {
+      candidates.push_back(&target);
+    }
+  }
+  return candidates;
+}
+
+}  // namespace
+
+double ScoreOf(const TargetView& target, Millis now) {
+  double busy = static_cast<double>(target.m_outstanding);
+  double capacity = target.m_slots;
+  if (now - target.m_load_time < kLoadFreshFor) {
+    const std::uint64_t reported =
+        target.m_load.m_in_flight + target.m_load.m_queued;
+    busy = std::max(busy, static_cast<double>(reported));
+    capacity = std::max(1.0, target.m_load.m_limit);
+  }
+  const double age =
+      std::clamp((now - target.m_known_since) / kSlowStart, 0.0, 1.0);
+  const double ramp = kSlowStartShare + (1 - kSlowStartShare) * age;
+  return (busy + 1) / (capacity * ramp) * CurrentSlowness(target, now);
+}
+
+std::optional<NodeId> ChooseTarget(const Balancer& balancer,
+                                   const std::vector<NodeId>& excluded,
+                                   const std::string& own_region,
+                                   TwoDraws draws,
+                                   Millis now) {
+  std::vector<const TargetView*> candidates =
+      Candidates(balancer, excluded, now, false);
+  if (candidates.empty()) {
+    // With every target ejected, a suspected one is better than none.
+    candidates = Candidates(balancer, excluded, now, true);
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const auto count = static_cast<double>(candidates.size());
+  const auto first = static_cast<std::size_t>(draws.m_first * count);
+  auto second = static_cast<std::size_t>(draws.m_second * (count - 1));
+  second += second >= first ? 1 : 0;
+  const TargetView* a = candidates[std::min(first, candidates.size() - 1)];
+  const TargetView* b = candidates[std::min(second, candidates.size() - 1)];
+  const auto score = [&](const TargetView* target) {
+    const bool far = target->m_region != own_region;
+    return ScoreOf(*target, now) * (far ? kOtherRegionFactor : 1);
+  };
+  return score(a) <= score(b) ? a->m_node : b->m_node;
+}
+
+void RecordSent(Balancer& balancer, const NodeId& node) {
+  const auto found = balancer.m_targets.find(node);
+  if (found != balancer.m_targets.end()) {
+    ++found->second.m_outstanding;
+  }
+}
+
+void RecordEnd(Balancer& balancer,
+               const NodeId& node,
+               SendEnd end,
+               const KindName& kind,
+               Millis duration,
+               Millis now) {
+  const auto found = balancer.m_targets.find(node);
+  if (found == balancer.m_targets.end()) {
+    return;
+  }
+  TargetView& target = found->second;
+  target.m_outstanding -= target.m_outstanding > 0 ? 1 : 0;
+  if (end == SendEnd::kAnswered) {
+    RecordAnswer(balancer, target, kind, duration, now);
+  } else if (end == SendEnd::kRefused) {
+    target.m_failures_in_row = 0;
+  } else if (end == SendEnd::kFailed) {
+    ++target.m_failures_in_row;
+    if (target.m_on_probation || target.m_failures_in_row >= kFailuresToEject) {
+      Eject(balancer, target, now);
+    }
+  }
+}
+
+void RecordLoad(Balancer& balancer,
+                const NodeId& node,
+                const LoadReport& load,
+                Millis now) {
+  const auto found = balancer.m_targets.find(node);
+  if (found == balancer.m_targets.end()) {
+    return;
+  }
+  found->second.m_load = load;
+  found->second.m_load_time = now;
+  found->second.m_leaving = found->second.m_leaving || load.m_leaving;
+}
+
+std::size_t UsableTargets(const Balancer& balancer, Millis now) {
+  return Candidates(balancer, {}, now, false).size();
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/runtime/fiber_loop.cc
@@ -0,0 +1,143 @@
+#include "hemlockpoint/runtime/fiber_loop.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/context.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/fiber/pooled_fixedsize_stack.hpp>
+#include <boost/fiber/scheduler.hpp>
+#include <chrono>
+#include <utility>
+
+namespace hemlockpoint {
+
+namespace {
+
+namespace fibers = boost::fibers;
+
+constexpr std::size_t kStackBytes = 128 * 1024;
+// Stacks are reserved in groups; only pages that were touched are resident.
+constexpr std::size_t kStacksPerChunk = 16;
+
+// Round robin that waits in the io_context while no fiber is ready. Fibers
+// become ready only through handlers or other fibers, so the ready queue
+// drains between two waits and no handler is starved.
+class AsioRoundRobin : public fibers::algo::algorithm {
+ public:
+  explicit AsioRoundRobin(std::shared_ptr<boost::asio::io_context> io)
+      : m_io(std::move(io)) {}
+
+  void awakened(fibers::context* context) noexcept override {
+    context->ready_link(m_ready);
+  }
+
+  fibers::context* pick_next() noexcept override {
+    if (m_ready.empty()) {
+      return nullptr;
+    }
+    fibers::context* next = &m_ready.front();
+    m_ready.pop_front();
+    return next;
+  }
+
+  [[nodiscard]] bool has_ready_fibers() const noexcept override {
+    return !m_ready.empty();
+  }
+
+  void suspend_until(
+      const std::chrono::steady_clock::time_point& until) noexcept override {
+    if (until == std::chrono::steady_clock::time_point::max()) {
+      m_io->run_one();
+    } else {
+      m_io->run_one_until(until);
+    }
+    m_io->poll();
+  }
+
+  void notify() noexcept override {
+    boost::asio::post(*m_io, [] {});
+  }
+
+ private:
+  // Shared, since the thread's fiber scheduler ends after the FiberLoop.
+  std::shared_ptr<boost::asio::io_context> m_io;
+  fibers::scheduler::ready_queue_type m_ready;
+};
+
+}  // namespace
+
+struct FiberLoop::State {
+  std::shared_ptr<boost::asio::io_context> m_io =
+      std::make_shared<boost::asio::io_context>(1);
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      m_work = boost::asio::make_work_guard(*m_io);
+  fibers::pooled_fixedsize_stack m_stacks{kStackBytes, kStacksPerChunk};
+  fibers::mutex m_mutex;
+  fibers::condition_variable m_changed;
+  std::size_t m_fibers = 0;
+  bool m_stopping = false;
+};
+
+FiberLoop::FiberLoop() : m_state(std::make_unique<State>()) {
+  fibers::use_scheduling_algorithm<AsioRoundRobin>(m_state->m_io);
+}
+
+FiberLoop::~FiberLoop() = default;
+
+boost::asio::io_context& FiberLoop::io() {
+  return *m_state->m_io;
+}
+
+void FiberLoop::Spawn(std::function<void()> body) {
+  State* state = m_state.get();
+  ++state->m_fibers;
+  fibers::fiber(fibers::launch::post, std::allocator_arg, state->m_stacks,
+                [state, body = std::move(body)] {
+                  body();
+                  --state->m_fibers;
+                  state->m_changed.notify_all();
+                })
+      .detach();
+}
+
+void FiberLoop::SpawnPeriodic(Millis period, std::function<void()> tick) {
+  State* state = m_state.get();
+  Spawn([state, period, tick = std::move(tick)] {
+    std::unique_lock<fibers::mutex> lock(state->m_mutex);
+    while (!state->m_stopping) {
+      lock.unlock();
+      tick();
+      lock.lock();
+      state->m_changed.wait_for(lock, ToChrono(period),
+                                [state] { return state->m_stopping; });
+    }
+  });
+}
+
+void FiberLoop::Run() {
+  std::unique_lock<fibers::mutex> lock(m_state->m_mutex);
+  m_state->m_changed.wait(
+      lock, [this] { return m_state->m_stopping && m_state->m_fibers == 0; });
+}
+
+void FiberLoop::Stop() {
+  m_state->m_stopping = true;
+  m_state->m_changed.notify_all();
+}
+
+bool FiberLoop::stopping() const {
+  return m_state->m_stopping;
+}
+
+std::size_t FiberLoop::fibers() const {
+  return m_state->m_fibers;
+}
+
+void SleepFor(Millis duration) {
+  boost::this_fiber::sleep_for(ToChrono(duration));
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/transport/body_pipe.cc
@@ -0,0 +1,53 @@
+#include "hemlockpoint/transport/body_pipe.h"
+
+#include <utility>
+
+namespace hemlockpoint {
+
+void BodyPipe::Push(std::string bytes) {
+  if (bytes.empty() || m_failed) {
+    return;
+  }
+  m_buffered += bytes.size();
+  m_chunks.push_back(std::move(bytes));
+  m_changed.Notify();
+}
+
+void BodyPipe::Finish() {
+  m_finished = true;
+  m_changed.Notify();
+}
+
+void BodyPipe::Fail() {
+  if (m_finished) {
+    return;
+  }
+  m_failed = true;
+  m_chunks.clear();
+  m_buffered = 0;
+  m_changed.Notify();
+}
+
+std::optional<std::string> BodyPipe::Pop() {
+  m_changed.Wait(
+      [this] { return m_failed || m_finished || !m_chunks.empty(); });
+  if (m_failed) {
+    return std::nullopt;
+  }
+  if (m_chunks.empty()) {
+    return std::string();
+  }
+  std::string bytes = std::move(m_chunks.front());
+  m_chunks.pop_front();
+  m_buffered -= bytes.size();
+  if (m_consumed) {
+    m_consumed(bytes.size());
+  }
+  return bytes;
+}
+
+void BodyPipe::OnConsumed(std::function<void(std::size_t)> consumed) {
+  m_consumed = std::move(consumed);
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/transport/call.cc
@@ -0,0 +1,145 @@
+#include "hemlockpoint/transport/call.h"
+
+#include <utility>
+
+namespace hemlockpoint {
+
+namespace {
+
+class LocalRequestSender : public RequestSender {
+ public:
+  explicit LocalRequestSender(std::shared_ptr<CallState> state)
+      : m_state(std::move(state)) {}
+
+  bool SendBody(std::string bytes, bool complete) override {
+    if (!bytes.empty() && !m_state->m_request_credit.Take(bytes.size())) {
+      return false;
+    }
+    m_state->m_request_body.Push(std::move(bytes));
+    if (complete) {
+      m_state->m_request_body.Finish();
+    }
+    return true;
+  }
+
+  void Cancel(const std::string&) override { m_state->Cancel(); }
+
+ private:
+  std::shared_ptr<CallState> m_state;
+};
+
+class LocalAnswerSender : public AnswerSender {
+ public:
+  explicit LocalAnswerSender(std::shared_ptr<CallState> state)
+      : m_state(std::move(state)) {}
+
+  bool SendAnswer(AnswerStart answer) override {
+    if (m_state->m_cancelled) {
+      return false;
+    }
+    m_state->m_answer_body.Push(std::move(answer.m_body.m_data));
+    answer.m_body.m_data.clear();
+    if (answer.m_complete) {
+      m_state->m_answer_body.Finish();
+    }
+    m_state->m_answer = std::move(answer);
+    m_state->m_changed.Notify();
+    return true;
+  }
+
+  bool SendBody(std::string bytes, bool complete) override {
+    if (!bytes.empty() && !m_state->m_answer_credit.Take(bytes.size())) {
+      return false;
+    }
+    m_state->m_answer_body.Push(std::move(bytes));
+    if (complete) {
+      m_state->m_answer_body.Finish();
+    }
+    return !m_state->m_cancelled;
+  }
+
+  void Cut(const std::string&) override { m_state->m_answer_body.Fail(); }
+
+  void GrantBody() override { m_state->GrantRequestBody(kBodyWindowBytes); }
+
+ private:
+  std::shared_ptr<CallState> m_state;
+};
+
+}  // namespace
+
+void SendCredit::Add(std::size_t bytes) {
+  m_bytes += static_cast<std::int64_t>(bytes);
+  m_changed.Notify();
+}
+
+void SendCredit::Close() {
+  m_closed = true;
+  m_changed.Notify();
+}
+
+bool SendCredit::Take(std::size_t bytes) {
+  m_changed.Wait([this] { return m_closed || m_bytes > 0; });
+  m_bytes -= static_cast<std::int64_t>(bytes);
+  return !m_closed;
+}
+
+void CallState::GrantRequestBody(std::size_t bytes) {
+  m_body_wanted = true;
+  m_request_credit.Add(bytes);
+  m_changed.Notify();
+}
+
+void CallState::Cancel() {
+  if (m_cancelled) {
+    return;
+  }
+  m_cancelled = true;
+  m_request_body.Fail();
+  m_request_credit.Close();
+  m_answer_credit.Close();
+  if (m_on_cancel) {
+    m_on_cancel();
+  }
+  m_changed.Notify();
+}
+
+void CallState::Lose() {
+  m_lost = true;
+  m_answer_body.Fail();
+  m_request_credit.Close();
+  m_changed.Notify();
+}
+
+std::optional<AnswerStart> OutboundCall::AwaitAnswer(Millis until) const {
+  CallState& state = *m_state;
+  const bool ended = state.m_changed.WaitUntil(until, [&state] {
+    return state.m_answer.has_value() || state.m_lost || state.m_cancelled;
+  });
+  if (!ended || !state.m_answer) {
+    return std::nullopt;
+  }
+  return state.m_answer;
+}
+
+LocalCall MakeLocalCall(CallStart start) {
+  auto state = std::make_shared<CallState>();
+  LocalCall call;
+  state->m_request_body.Push(std::move(start.m_body.m_data));
+  start.m_body.m_data.clear();
+  if (start.m_complete) {
+    state->m_request_body.Finish();
+  }
+  state->m_request_body.OnConsumed([state = state.get()](std::size_t bytes) {
+    state->m_request_credit.Add(bytes);
+  });
+  state->m_answer_body.OnConsumed([state = state.get()](std::size_t bytes) {
+    state->m_answer_credit.Add(bytes);
+  });
+  call.m_outbound = {state, std::make_unique<LocalRequestSender>(state)};
+  call.m_inbound = {std::move(start), state,
+                    std::make_unique<LocalAnswerSender>(state)};
+  return call;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/transport/link_layer.h
@@ -0,0 +1,85 @@
+#ifndef HEMLOCKPOINT_TRANSPORT_LINK_LAYER_H_
+#define HEMLOCKPOINT_TRANSPORT_LINK_LAYER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "hemlockpoint/base/endpoint.h"
+#include "hemlockpoint/base/result.h"
+#include "hemlockpoint/runtime/fiber_loop.h"
+#include "hemlockpoint/transport/call.h"
+#include "hemlockpoint/wire/message.h"
+
+namespace hemlockpoint {
+
+/// @brief What the link layer tells its owner. The functions run while no
+/// fiber does and must not wait.
+struct LinkEvents {
+  /// A call for the target beside this node.
+  std::function<void(InboundCall)> m_call;
+  /// Any message that is not part of a call.
+  std::function<void(LinkId, const NodeId& from, const Message&)> m_message;
+  /// A link that had been greeted is gone.
+  std::function<void(LinkId, const NodeId& peer)> m_closed;
+};
+
+/// @brief Counters of a link layer.
+struct LinkCounters {
+  std::uint64_t m_messages_sent = 0;
+  std::uint64_t m_bytes_sent = 0;
+  std::uint64_t m_messages_received = 0;
+  std::uint64_t m_bytes_received = 0;
+  std::uint64_t m_rejected_messages = 0;
+};
+
+/// @brief Greeted links to other processes, and the calls that run on them.
+/// Calls run only on links that their sender opened.
+class LinkLayer {
+ public:
+  /// @param hello What this process greets others with.
+  /// @param max_calls Calls in progress at most, over all links.
+  LinkLayer(FiberLoop& loop,
+            Hello hello,
+            std::size_t max_calls,
+            LinkEvents events);
+  ~LinkLayer();
+  LinkLayer(const LinkLayer&) = delete;
+  LinkLayer& operator=(const LinkLayer&) = delete;
+
+  [[nodiscard]] std::optional<std::string> Listen(const Endpoint& endpoint);
+
+  /// @brief Finds or opens a link and waits until the peer has greeted; used
+  /// on a fiber.
+  /// @return The link, or why there is none by then.
+  [[nodiscard]] Result<LinkId> LinkTo(const Endpoint& endpoint, Millis until);
+
+  /// @brief Sends a call. Its state is lost together with the link.
+  [[nodiscard]] OutboundCall StartCall(LinkId link, CallStart start);
+
+  /// @brief Sends a message that is not part of a call.
+  /// @return Whether the link was open.
+  bool Send(LinkId link, const Message& message);
+
+  void Close(LinkId link);
+
+  /// @brief Closes the link to an endpoint, and loses its calls.
+  void CloseTo(const Endpoint& endpoint);
+
+  /// @brief Closes every link.
+  void Shutdown();
+
+  [[nodiscard]] const LinkCounters& counters() const;
+  /// @return Calls in progress over all links.
+  [[nodiscard]] std::size_t calls() const;
+  [[nodiscard]] std::size_t links() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> m_state;
+};
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_TRANSPORT_LINK_LAYER_H_
--- /dev/null
+++ b/src/hemlockpoint/wire/call_messages.h
@@ -0,0 +1,234 @@
+#ifndef HEMLOCKPOINT_WIRE_CALL_MESSAGES_H_
+#define HEMLOCKPOINT_WIRE_CALL_MESSAGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "hemlockpoint/base/ids.h"
+#include "hemlockpoint/base/millis.h"
+#include "hemlockpoint/outcome/refusal.h"
+
+namespace hemlockpoint {
+
+/// @brief Version of the protocol between the system's processes. Peers of
+/// another version are refused.
+inline constexpr std::uint64_t kProtocolVersion = 1;
+
+/// @brief Bytes of one body chunk at most, so that chunks of large bodies
+/// interleave with small messages.
+inline constexpr std::size_t kMaxChunkBytes = 64 * 1024;
+
+/// @brief Unread body bytes that a receiver grants a sender for each call.
+inline constexpr std::size_t kBodyWindowBytes = 256 * 1024;
+
+/// @brief Binary content, encoded as a CBOR byte string.
+struct Bytes {
+  std::string m_data;
+};
+
+/// @brief One HTTP field.
+struct HeaderField {
+  std::string m_name;
+  std::string m_value;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("n", self.m_name);
+    visit("v", self.m_value);
+  }
+};
+
+using HeaderFields = std::vector<HeaderField>;
+
+/// @brief First message on each link, in both directions.
+struct Hello {
+  static constexpr const char* kType = "hello";
+  std::uint64_t m_version = kProtocolVersion;
+  std::string m_group;
+  NodeId m_node;
+  /// Distinguishes two lives of one node; grows with each start.
+  std::uint64_t m_incarnation = 0;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("version", self.m_version);
+    visit("group", self.m_group);
+    visit("node", self.m_node);
+    visit("incarnation", self.m_incarnation);
+  }
+};
+
+/// @brief What an entry decided about a call, for every later hop.
+struct CallTerms {
+  RequestId m_root;
+  CallerName m_caller;
+  /// Index of the priority class; 0 is served longest.
+  std::uint64_t m_class = 0;
+  /// Hops from the root request; 0 at the entry.
+  std::uint64_t m_depth = 0;
+  /// Attempts beyond the first that this call may still cause below it.
+  std::uint64_t m_extra_attempts = 0;
+  /// The call, or one above it, repeats an earlier attempt.
+  bool m_repeat = false;
+  bool m_idempotent = true;
+  bool m_long = false;
+  /// The request was in flight when a target crashed.
+  bool m_suspect = false;
+  std::string m_key;
+  Fingerprint m_fingerprint;
+  /// Time left until the deadline when the message was sent.
+  Millis m_time_left;
+  Revision m_revision;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("root", self.m_root);
+    visit("caller", self.m_caller);
+    visit("class", self.m_class);
+    visit("depth", self.m_depth);
+    visit("extra", self.m_extra_attempts);
+    visit("repeat", self.m_repeat);
+    visit("idem", self.m_idempotent);
+    visit("long", self.m_long);
+    visit("suspect", self.m_suspect);
+    visit("key", self.m_key);
+    visit("print", self.m_fingerprint);
+    visit("left", self.m_time_left);
+    visit("rev", self.m_revision);
+  }
+};
+
+/// @brief The start of a request, and all of it when the body is short.
+struct RequestHead {
+  ServiceName m_service;
+  std::string m_method;
+  /// Path and query.
+  std::string m_path;
+  HeaderFields m_headers;
+  /// Length of the whole body where the caller stated it.
+  std::optional<std::uint64_t> m_content_length;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("service", self.m_service);
+    visit("method", self.m_method);
+    visit("path", self.m_path);
+    visit("headers", self.m_headers);
+    visit("length", self.m_content_length);
+  }
+};
+
+/// @brief Opens a call on a link.
+struct CallStart {
+  static constexpr const char* kType = "call";
+  CallId m_call;
+  CallTerms m_terms;
+  RequestHead m_request;
+  Bytes m_body;
+  /// No BodyChunk follows.
+  bool m_complete = true;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("call", self.m_call);
+    visit("terms", self.m_terms);
+    visit("req", self.m_request);
+    visit("body", self.m_body);
+    visit("done", self.m_complete);
+  }
+};
+
+/// @brief A further piece of a request's or an answer's body.
+struct BodyChunk {
+  static constexpr const char* kType = "body";
+  CallId m_call;
+  Bytes m_body;
+  bool m_complete = false;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("call", self.m_call);
+    visit("body", self.m_body);
+    visit("done", self.m_complete);
+  }
+};
+
+/// @brief Lets the sender of a body send this many bytes more.
+struct BodyCredit {
+  static constexpr const char* kType = "credit";
+  CallId m_call;
+  std::uint64_t m_bytes = 0;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("call", self.m_call);
+    visit("bytes", self.m_bytes);
+  }
+};
+
+/// @brief Load of a target as its node measures it, told with each answer.
+struct LoadReport {
+  std::uint64_t m_in_flight = 0;
+  std::uint64_t m_queued = 0;
+  double m_limit = 0;
+  /// Ranks above this value are refused for the answered kind of work, here
+  /// or at a service below.
+  double m_threshold = 0;
+  bool m_leaving = false;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("busy", self.m_in_flight);
+    visit("queued", self.m_queued);
+    visit("limit", self.m_limit);
+    visit("level", self.m_threshold);
+    visit("leaving", self.m_leaving);
+  }
+};
+
+/// @brief The start of an answer, and all of it when the body is short.
+struct AnswerStart {
+  static constexpr const char* kType = "answer";
+  CallId m_call;
+  /// HTTP status of the target's answer; meaningless with a refusal.
+  std::uint64_t m_status = 0;
+  HeaderFields m_headers;
+  std::optional<Refusal> m_refusal;
+  /// Extra attempts spent below, out of CallTerms::m_extra_attempts.
+  std::uint64_t m_spent = 0;
+  LoadReport m_load;
+  Bytes m_body;
+  bool m_complete = true;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("call", self.m_call);
+    visit("status", self.m_status);
+    visit("headers", self.m_headers);
+    visit("refusal", self.m_refusal);
+    visit("spent", self.m_spent);
+    visit("load", self.m_load);
+    visit("body", self.m_body);
+    visit("done", self.m_complete);
+  }
+};
+
+/// @brief Ends a call early: the caller's side cancels it, or the target's
+/// side cuts an answer whose head was sent already.
+struct CallAbort {
+  static constexpr const char* kType = "abort";
+  CallId m_call;
+  std::string m_reason;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("call", self.m_call);
+    visit("reason", self.m_reason);
+  }
+};
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_WIRE_CALL_MESSAGES_H_
--- /dev/null
+++ b/src/hemlockpoint/wire/fwd.h
@@ -0,0 +1,17 @@
+#ifndef HEMLOCKPOINT_WIRE_FWD_H_
+#define HEMLOCKPOINT_WIRE_FWD_H_
+
+namespace hemlockpoint {
+
+struct Hello;
+struct CallStart;
+struct BodyChunk;
+struct BodyCredit;
+struct AnswerStart;
+struct CallAbort;
+struct Heartbeat;
+struct DirectoryDelta;
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_WIRE_FWD_H_
