--- a/src/hemlockctl/main.cc
+++ b/src/hemlockctl/main.cc
@@ -1,5 +1,6 @@
 // The operators' command line.
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <cstdlib>
 #include <iostream>
--- /dev/null
+++ b/src/hemlockpoint/claims/attempt.cc
@@ -0,0 +1,70 @@
+#include "hemlockpoint/claims/attempt.h"
+
+#include "hemlockpoint/claims/replica.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+bool IsOutlived(const ClaimAttempt& attempt, const ReplicaLife& replica) {
+  for (const auto& [node, reply] : attempt.m_replies) {
+    for (const ReplicaLife& known : reply.m_known) {
+      if (known.m_node == replica.m_node &&
+          known.m_incarnation > replica.m_incarnation) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+std::size_t CountGrants(const ClaimAttempt& attempt) {
+  std::size_t grants = 0;
+  for (const auto& [node, reply] : attempt.m_replies) {
+    const bool granted = reply.m_verdict == ClaimVerdict::kGranted &&
+                         reply.m_epoch == attempt.m_epoch &&
+                         !IsOutlived(attempt, reply.m_replica);
+    grants += granted ? 1 : 0;
+  }
+  return grants;
+}
+
+}  // namespace
+
+void RecordReply(ClaimAttempt& attempt, const ClaimReply& reply) {
+  attempt.m_replies[reply.m_replica.m_node] = reply;
+}
+
+AttemptState Judge(const ClaimAttempt& attempt) {
+  const std::size_t majority = MajorityOf(attempt.m_replicas);
+  const std::size_t grants = CountGrants(attempt);
+  if (grants >= majority) {
+    return AttemptState::kOwned;
+  }
+  const std::size_t open = attempt.m_replicas - attempt.m_replies.size();
+  if (grants + open >= majority) {
+    return AttemptState::kPending;
+  }
+  return HolderOf(attempt) != nullptr ? AttemptState::kHeld
+                                      : AttemptState::kUnavailable;
+}
+
+const ClaimReply* HolderOf(const ClaimAttempt& attempt) {
+  const ClaimReply* best = nullptr;
+  for (const auto& [node, reply] : attempt.m_replies) {
+    if (reply.m_verdict != ClaimVerdict::kHeld) {
+      continue;
+    }
+    const bool says_more = best == nullptr ||
+                           (best->m_phase == ClaimPhase::kRunning &&
+                            reply.m_phase != ClaimPhase::kRunning) ||
+                           (best->m_phase == ClaimPhase::kUnknown &&
+                            reply.m_phase == ClaimPhase::kAnswered);
+    if (says_more) {
+      best = &reply;
+    }
+  }
+  return best;
+}
+
+}  // namespace hemlockpoint
--- a/src/hemlockpoint/control/control_service.cc
+++ b/src/hemlockpoint/control/control_service.cc
@@ -1,6 +1,10 @@
 #include "hemlockpoint/control/control_service.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "hemlockpoint/log/log.h"
+#include "hemlockpoint/wire/fields_codec.h"
 
 namespace hemlockpoint {
 
@@ -8,50 +12,461 @@
 
 // Changes within one period go out together.
 constexpr Millis kPushPeriod(100);
+constexpr Millis kCommitTimeout(4000);
+constexpr Millis kProofTimeout(1500);
+constexpr Millis kQueryTimeout(1500);
+constexpr Millis kPolicyResendAfter(1000);
+constexpr Millis kPlanPeriod(1000);
+constexpr Millis kInitPeriod(1000);
+// A push by a leader without fresh proof could carry an outdated document.
+constexpr Millis kPushProofLimit(1500);
+
+PolicyPush MakePush(const PolicyDocument& document,
+                    Revision since,
+                    Millis proof_age) {
+  PolicyPush push;
+  push.m_revision = document.m_revision;
+  push.m_since = since;
+  push.m_proof_age = proof_age;
+  for (const auto& [name, section] : document.m_sections) {
+    if (since < section.m_revision) {
+      push.m_changed.push_back({name, section.m_revision, section.m_text});
+    }
+  }
+  return push;
+}
+
+// Sections that were removed after a revision, as far as the history goes.
+std::vector<std::string> RemovedSince(const PolicyStore& store,
+                                      Revision since) {
+  std::vector<std::string> removed;
+  for (const HistoryEntry& entry : store.m_history) {
+    const bool gone = store.m_document.m_sections.count(entry.m_section) == 0;
+    if (since < entry.m_revision && gone) {
+      removed.push_back(entry.m_section);
+    }
+  }
+  return removed;
+}
+
+SuspectRow RowOf(Fingerprint request, const SuspectEntry& entry, Millis now) {
+  SuspectRow row;
+  row.m_fingerprint = request;
+  row.m_state = entry.m_state == SuspectState::kQuarantined ? 1 : 0;
+  row.m_time_left = entry.m_expires - now;
+  return row;
+}
 
 }  // namespace
 
 ControlService::ControlService(const Settings& settings,
                                FiberLoop& loop,
                                LinkLayer& links)
-    : m_settings(settings), m_loop(loop), m_links(links) {
-  m_directory.m_origin =
-      settings.m_node.value() + "-" + std::to_string(UnixMillis());
-  m_directory.m_started = SteadyNow();
-}
+    : m_settings(settings),
+      m_loop(loop),
+      m_links(links),
+      m_group(settings,
+              loop,
+              links,
+              {[this](const LogEntry& entry) {
+                 ApplyEntry(m_state, entry);
+                 ++m_claim_sets_version;
+               },
+               [this](const std::string& snapshot) {
+                 auto state = DecodeState(snapshot);
+                 if (state) {
+                   m_state = std::move(*state);
+                   ++m_claim_sets_version;
+                 }
+               },
+               [this] { return EncodeState(m_state); }}) {}
 
-void ControlService::Start() {
+std::optional<std::string> ControlService::Start() {
+  if (auto error = m_group.Start()) {
+    return error;
+  }
   m_loop.SpawnPeriodic(kPushPeriod, [this] { Tick(); });
+  return std::nullopt;
 }
 
 void ControlService::Handle(LinkId link, const Heartbeat& heartbeat) {
+  const Millis now = SteadyNow();
   HeartbeatAck ack;
-  ack.m_leading = true;
-  ack.m_leader = ToText(m_settings.m_peer);
+  ack.m_leading = m_group.is_leader();
+  ack.m_proof_age = Min(ProofAge(m_group.raft(), now), Millis(1e9));
+  ack.m_revision = m_state.m_policy.m_document.m_revision;
+  if (const GroupMember* leader = m_group.leader()) {
+    ack.m_leader = leader->m_peer;
+  }
   m_links.Send(link, ack);
-  RenewMember(m_directory, heartbeat.m_member, SteadyNow());
-  UpdateInterests(m_subscribers[link], m_directory, heartbeat);
+  if (!ack.m_leading) {
+    return;
+  }
+  RenewMember(m_directory, heartbeat.m_member, now);
+  const bool is_new = m_nodes.count(link) == 0;
+  Node& node = m_nodes[link];
+  node.m_name = heartbeat.m_member.m_node;
+  node.m_revision = heartbeat.m_member.m_revision;
+  UpdateInterests(node.m_subscriber, m_directory, heartbeat);
+  if (is_new && !m_quarantine.m_entries.empty()) {
+    SuspectReport report;
+    for (const auto& [request, entry] : m_quarantine.m_entries) {
+      report.m_rows.push_back(RowOf(request, entry, now));
+    }
+    m_links.Send(link, report);
+  }
+  PushDirectory(link, node, now);
+  PushPolicy(link, node, now);
+  PushClaimSets(link, node);
+}
+
+void ControlService::Handle(LinkId, const GroupInit& init) {
+  const bool invited =
+      FindInstance(init.m_config, m_group.raft().m_instance) != nullptr;
+  if (invited && !IsInGroup(m_group.raft())) {
+    (void)m_group.Init(init.m_config);
+  }
+}
+
+void ControlService::Handle(LinkId link, const InstanceQuery& query) {
+  if (query.m_is_reply) {
+    m_instances[link] = query;
+    m_instance_known.Notify();
+    return;
+  }
+  InstanceQuery reply;
+  reply.m_is_reply = true;
+  reply.m_instance = m_group.raft().m_instance;
+  reply.m_admin = ToText(m_settings.m_admin);
+  reply.m_group_id = m_group.raft().m_config.m_config.m_group_id;
+  m_links.Send(link, reply);
+}
+
+void ControlService::Handle(LinkId, const SuspectReport& report) {
+  const Millis now = SteadyNow();
+  for (const SuspectRow& row : report.m_rows) {
+    const SuspectState state =
+        row.m_state == 1 ? SuspectState::kQuarantined : SuspectState::kSuspect;
+    Merge(m_quarantine, row.m_fingerprint,
+          {state, now + Min(row.m_time_left, kQuarantineFor)});
+  }
+  PushSuspects(report.m_rows);
+}
+
+void ControlService::Handle(LinkId link, RaftMessage message) {
+  m_group.Receive(link, std::move(message));
 }
 
 void ControlService::OnLinkClosed(LinkId link) {
-  m_subscribers.erase(link);
+  m_nodes.erase(link);
+  m_instances.erase(link);
 }
 
 void ControlService::Tick() {
-  for (const NodeId& node : ExpireMembers(m_directory, SteadyNow())) {
+  const Millis now = SteadyNow();
+  FollowRole();
+  SpreadInit(now);
+  if (!m_group.is_leader()) {
+    return;
+  }
+  for (const NodeId& node : ExpireMembers(m_directory, now)) {
     LogLine(LogLevel::kWarning, "member_gone").With("node", node.value());
   }
-  PushDirectory();
+  ForgetExpired(m_quarantine, now);
+  for (auto& [link, node] : m_nodes) {
+    PushDirectory(link, node, now);
+    PushPolicy(link, node, now);
+    PushClaimSets(link, node);
+  }
+  if (now >= m_next_plan && !m_planning) {
+    m_next_plan = now + kPlanPeriod;
+    m_planning = true;
+    m_loop.Spawn([this, now] {
+      PlanClaims(now);
+      m_planning = false;
+    });
+  }
 }
 
-void ControlService::PushDirectory() {
-  const Millis now = SteadyNow();
-  for (auto& [link, subscriber] : m_subscribers) {
-    const DirectoryDelta delta = TakeDelta(subscriber, m_directory, now);
-    if (!delta.m_services.empty()) {
-      m_links.Send(link, delta);
+// A directory is the leader's own: a new leader starts an empty one, and a
+// former leader forgets its.
+void ControlService::FollowRole() {
+  const bool leads = m_group.is_leader();
+  if (leads == m_led) {
+    return;
+  }
+  m_led = leads;
+  m_nodes.clear();
+  m_absent_since.clear();
+  m_directory = Directory();
+  m_directory.m_started = SteadyNow();
+  m_directory.m_origin = m_settings.m_node.value() + "-" +
+                         std::to_string(m_group.raft().m_hard.m_term);
+  LogLine(LogLevel::kInfo, leads ? "leadership_won" : "leadership_lost")
+      .With("term", m_group.raft().m_hard.m_term);
+}
+
+void ControlService::PushDirectory(LinkId link, Node& node, Millis now) {
+  const DirectoryDelta delta = TakeDelta(node.m_subscriber, m_directory, now);
+  if (!delta.m_services.empty()) {
+    m_links.Send(link, delta);
+  }
+}
+
+void ControlService::PushPolicy(LinkId link, Node& node, Millis now) {
+  const PolicyDocument& document = m_state.m_policy.m_document;
+  const bool current = node.m_revision == document.m_revision;
+  const bool just_sent = node.m_sent_revision == document.m_revision &&
+                         now - node.m_sent_policy < kPolicyResendAfter;
+  const Millis proof_age = ProofAge(m_group.raft(), now);
+  if (current || just_sent || proof_age > kPushProofLimit) {
+    return;
+  }
+  // A resend carries the whole document, in case the node lacks a section.
+  const bool resend = node.m_sent_revision == document.m_revision;
+  const auto& history = m_state.m_policy.m_history;
+  const bool forgotten =
+      history.empty() ||
+      node.m_revision.value() + 1 < history.front().m_revision.value();
+  const Revision since = resend || forgotten ? Revision() : node.m_revision;
+  PolicyPush push = MakePush(document, since, proof_age);
+  push.m_removed = RemovedSince(m_state.m_policy, since);
+  m_links.Send(link, push);
+  node.m_sent_revision = document.m_revision;
+  node.m_sent_policy = now;
+}
+
+void ControlService::PushClaimSets(LinkId link, Node& node) {
+  if (node.m_sent_claim_sets == m_claim_sets_version) {
+    return;
+  }
+  node.m_sent_claim_sets = m_claim_sets_version;
+  ClaimSets sets;
+  for (const auto& [service, set] : m_state.m_claim_sets) {
+    sets.m_sets.push_back(set);
+  }
+  m_links.Send(link, sets);
+}
+
+void ControlService::PushSuspects(const std::vector<SuspectRow>& rows) {
+  SuspectReport report;
+  report.m_rows = rows;
+  for (const auto& [link, node] : m_nodes) {
+    m_links.Send(link, report);
+  }
+}
+
+// Each service of the directory gets claim replicas, and a replica that has
+// been gone for long is replaced.
+void ControlService::PlanClaims(Millis now) {
+  if (now - m_directory.m_started < kDirectoryWarmUp) {
+    return;
+  }
+  std::vector<ReplicaCandidate> alive;
+  std::map<ServiceName, ClaimSet> services = m_state.m_claim_sets;
+  for (const auto& [name, member] : m_directory.m_members) {
+    const MemberEntry& entry = member.m_entry;
+    if (member.m_gone || entry.m_target.m_service.empty()) {
+      continue;
+    }
+    alive.push_back({name, entry.m_incarnation, entry.m_peer,
+                     entry.m_failure_domain, entry.m_target.m_service,
+                     entry.m_target.m_leaving});
+    services[entry.m_target.m_service].m_service = entry.m_target.m_service;
+  }
+  Absences absences;
+  for (const auto& [service, set] : services) {
+    for (const ClaimMember& member : set.m_members) {
+      const auto known = m_directory.m_members.find(member.m_node);
+      const bool here =
+          known != m_directory.m_members.end() && !known->second.m_gone;
+      if (here) {
+        m_absent_since.erase(member.m_node);
+        continue;
+      }
+      const auto since = m_absent_since.emplace(member.m_node, now).first;
+      absences[member.m_node] = now - since->second;
+    }
+  }
+  for (const auto& [service, set] : services) {
+    const auto next = PlanClaimSet(set, alive, absences);
+    if (next) {
+      const auto committed =
+          m_group.Commit(EntryKind::kClaimSet, EncodeFields(*next),
+                         SteadyNow() + kCommitTimeout);
+      LogLine(LogLevel::kInfo, "claim_replicas_set")
+          .With("service", service.value())
+          .With("epoch", next->m_epoch)
+          .With("committed", committed ? "yes" : "no");
+    }
+  }
+}
+
+// The first members learn their configuration from whoever has it, since
+// none of them can lead before a majority does.
+void ControlService::SpreadInit(Millis now) {
+  const RaftState& raft = m_group.raft();
+  const bool young = IsInGroup(raft) && raft.m_leader.empty() &&
+                     raft.m_log.m_snapshot.m_index == 0 &&
+                     LastIndex(raft.m_log) == 1;
+  if (!young || now < m_next_init) {
+    return;
+  }
+  m_next_init = now + kInitPeriod;
+  for (const GroupMember& member : raft.m_config.m_config.m_members) {
+    const auto peer = ParseEndpoint(member.m_peer);
+    if (peer && member.m_instance != raft.m_instance) {
+      m_links.SendTo(*peer, GroupInit{raft.m_config.m_config});
+    }
+  }
+}
+
+ChangeOutcome ControlService::Change(const PolicyChange& change) {
+  ChangeOutcome outcome;
+  if (!m_group.is_leader()) {
+    outcome.m_kind = ChangeOutcome::Kind::kNotLeader;
+    return outcome;
+  }
+  // Faults that no race can mend are told at once, all together.
+  const ChangeResult check = CheckChange(m_state.m_policy, change);
+  if (check.m_status == ChangeStatus::kInvalid ||
+      check.m_status == ChangeStatus::kForbidden) {
+    const bool proved = ProveLeadership();
+    outcome.m_kind = proved ? ChangeOutcome::Kind::kAnswered
+                            : ChangeOutcome::Kind::kNotLeader;
+    outcome.m_result = check;
+    return outcome;
+  }
+  const auto committed = m_group.Commit(
+      EntryKind::kChange, EncodeFields(change), SteadyNow() + kCommitTimeout);
+  const auto result = m_state.m_policy.m_results.find(change.m_change_id);
+  if (!committed || result == m_state.m_policy.m_results.end()) {
+    outcome.m_kind = ChangeOutcome::Kind::kUnknown;
+    outcome.m_reason =
+        committed ? "the answer was not kept" : committed.reason();
+    return outcome;
+  }
+  outcome.m_result = result->second;
+  LogLine(LogLevel::kInfo, "policy_change")
+      .With("section", change.m_section)
+      .With("change_id", change.m_change_id)
+      .With("actor", change.m_actor)
+      .With("status", static_cast<int>(outcome.m_result.m_status))
+      .With("revision", outcome.m_result.m_revision.value());
+  return outcome;
+}
+
+bool ControlService::ProveLeadership() {
+  return m_group.is_leader() &&
+         m_group.ProveLeadership(SteadyNow() + kProofTimeout);
+}
+
+std::optional<InstanceQuery> ControlService::QueryInstance(
+    const Endpoint& peer) {
+  const Millis until = SteadyNow() + kQueryTimeout;
+  const Result<LinkId> link = m_links.LinkTo(peer, until);
+  if (!link) {
+    return std::nullopt;
+  }
+  m_instances.erase(*link);
+  m_links.Send(*link, InstanceQuery());
+  const bool answered = m_instance_known.WaitUntil(
+      until, [&] { return m_instances.count(*link) != 0; });
+  return answered ? std::optional<InstanceQuery>(m_instances[*link])
+                  : std::nullopt;
+}
+
+std::optional<std::string> ControlService::InitGroup(
+    const std::string& admin_token_sha256) {
+  if (IsInGroup(m_group.raft())) {
+    return "this host is in a group already";
+  }
+  GroupConfig config;
+  config.m_group_id = RandomName();
+  config.m_admin_token_sha256 = admin_token_sha256;
+  for (const ControlHost& host : m_settings.m_control_hosts) {
+    GroupMember member;
+    member.m_node = host.m_node;
+    member.m_peer = ToText(host.m_peer);
+    member.m_voter = true;
+    if (host.m_node == m_settings.m_node) {
+      member.m_instance = m_group.raft().m_instance;
+      member.m_admin = ToText(m_settings.m_admin);
+    } else {
+      const auto answer = QueryInstance(host.m_peer);
+      if (!answer) {
+        return "control host " + host.m_node.value() + " does not answer";
+      }
+      if (!answer->m_group_id.empty()) {
+        return "control host " + host.m_node.value() + " is in a group already";
+      }
+      member.m_instance = answer->m_instance;
+      member.m_admin = answer->m_admin;
     }
+    config.m_members.push_back(member);
   }
+  m_group.Init(config);
+  return std::nullopt;
+}
+
+std::optional<std::string> ControlService::CommitConfig(
+    const GroupConfig& config) {
+  const auto committed = m_group.Commit(
+      EntryKind::kConfig, EncodeFields(config), SteadyNow() + kCommitTimeout);
+  return committed ? std::nullopt
+                   : std::optional<std::string>(committed.reason());
+}
+
+std::optional<std::string> ControlService::AddHost(const NodeId& node,
+                                                   const Endpoint& peer) {
+  GroupConfig config = m_group.raft().m_config.m_config;
+  for (const GroupMember& member : config.m_members) {
+    if (member.m_node == node) {
+      return "a host of this name is a member; remove it first";
+    }
+  }
+  constexpr std::size_t kMaxHosts = 7;
+  if (config.m_members.size() >= kMaxHosts) {
+    return "the group has 7 hosts already";
+  }
+  const auto answer = QueryInstance(peer);
+  if (!answer) {
+    return "the host does not answer";
+  }
+  if (!answer->m_group_id.empty()) {
+    return "the host's data folder belongs to a group already";
+  }
+  GroupMember member;
+  member.m_node = node;
+  member.m_instance = answer->m_instance;
+  member.m_peer = ToText(peer);
+  member.m_admin = answer->m_admin;
+  config.m_members.push_back(member);
+  return CommitConfig(config);
+}
+
+std::optional<std::string> ControlService::RemoveHost(const NodeId& node) {
+  GroupConfig config = m_group.raft().m_config.m_config;
+  const auto member = std::find_if(
+      config.m_members.begin(), config.m_members.end(),
+      [&](const GroupMember& entry) { return entry.m_node == node; });
+  if (member == config.m_members.end()) {
+    return "no such host in the group";
+  }
+  if (config.m_members.size() == 1) {
+    return "the last host cannot be removed";
+  }
+  config.m_members.erase(member);
+  return CommitConfig(config);
+}
+
+bool ControlService::LiftQuarantine(Fingerprint request) {
+  const bool lifted = Lift(m_quarantine, request);
+  SuspectRow row;
+  row.m_fingerprint = request;
+  row.m_state = 2;
+  PushSuspects({row});
+  return lifted;
 }
 
 }  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/control/group_driver.cc
@@ -0,0 +1,244 @@
+#include "hemlockpoint/control/group_driver.h"
+
+#include <array>
+#include <boost/asio/post.hpp>
+#include <cinttypes>
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+#include <utility>
+
+#include "hemlockpoint/log/log.h"
+#include "hemlockpoint/runtime/await.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr Millis kRaftTick(20);
+constexpr std::size_t kCompactAfterEntries = 256;
+constexpr std::size_t kCompactAfterBytes = 1024 * 1024;
+constexpr int kExitDiskFailed = 1;
+
+std::uint64_t RandomNumber() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+}  // namespace
+
+std::string RandomName() {
+  std::array<char, 20> text{};
+  std::snprintf(text.data(), text.size(), "%016" PRIx64, RandomNumber());
+  return text.data();
+}
+
+GroupDriver::GroupDriver(const Settings& settings,
+                         FiberLoop& loop,
+                         LinkLayer& links,
+                         LogConsumer consumer)
+    : m_settings(settings),
+      m_loop(loop),
+      m_links(links),
+      m_consumer(std::move(consumer)),
+      m_random_state(RandomNumber()) {}
+
+GroupDriver::~GroupDriver() {
+  m_disk.join();
+}
+
+std::optional<std::string> GroupDriver::Start() {
+  auto folder = DataFolder::Open(m_settings.m_data_folder, RandomName());
+  if (!folder) {
+    return folder.reason();
+  }
+  m_folder = std::move(*folder);
+  const StoredState& stored = m_folder->stored();
+  if (stored.m_torn_bytes > 0) {
+    LogLine(LogLevel::kWarning, "journal_tail_cut")
+        .With("bytes", static_cast<std::uint64_t>(stored.m_torn_bytes));
+  }
+  m_raft.m_instance = stored.m_instance;
+  m_raft.m_hard = stored.m_hard;
+  m_raft.m_log = stored.m_log;
+  StartRaft(m_raft, Random(), SteadyNow());
+  if (m_raft.m_log.m_snapshot.m_index > 0) {
+    m_consumer.m_restore(m_raft.m_log.m_snapshot.m_data);
+  }
+  m_loop.Spawn([this] { RunSteps(); });
+  return std::nullopt;
+}
+
+void GroupDriver::Receive(LinkId link, RaftMessage message) {
+  std::visit(
+      [&](const auto& value) {
+        m_reply_links[value.m_stamp.m_from_instance] = link;
+      },
+      message);
+  // Former instances would pile up over the years.
+  constexpr std::size_t kMaxReplyLinks = 64;
+  if (m_reply_links.size() > kMaxReplyLinks) {
+    m_reply_links.clear();
+  }
+  Enqueue([this, message = std::move(message)](RaftOutput& output) {
+    ReceiveRaft(m_raft, message, Random(), SteadyNow(), output);
+  });
+}
+
+bool GroupDriver::Init(const GroupConfig& config) {
+  if (IsInGroup(m_raft)) {
+    return m_raft.m_config.m_config.m_group_id == config.m_group_id;
+  }
+  Enqueue([this, config](RaftOutput& output) {
+    (void)InitGroup(m_raft, config, output);
+  });
+  return true;
+}
+
+Result<std::uint64_t> GroupDriver::Commit(EntryKind kind,
+                                          const std::string& data,
+                                          Millis until) {
+  using IndexResult = Result<std::uint64_t>;
+  struct Proposal {
+    bool m_tried = false;
+    std::optional<std::uint64_t> m_index;
+    std::uint64_t m_term = 0;
+  };
+  // The step may still be queued when this wait is given up.
+  auto proposal = std::make_shared<Proposal>();
+  Enqueue([this, kind, data, proposal](RaftOutput& output) {
+    proposal->m_index = Propose(m_raft, kind, data, SteadyNow(), output);
+    proposal->m_term = m_raft.m_hard.m_term;
+    proposal->m_tried = true;
+    m_progress.Notify();
+  });
+  if (!m_progress.WaitUntil(until, [&] { return proposal->m_tried; })) {
+    return IndexResult::Failure("the disk is slow");
+  }
+  const std::optional<std::uint64_t> index = proposal->m_index;
+  if (!index) {
+    return IndexResult::Failure("not the leader, or members are changing");
+  }
+  const std::uint64_t term = proposal->m_term;
+  const bool done = m_progress.WaitUntil(until, [&] {
+    return m_consumed >= *index || m_raft.m_hard.m_term != term;
+  });
+  if (!done || m_raft.m_hard.m_term != term) {
+    return IndexResult::Failure("leadership was lost or no majority answered");
+  }
+  return *index;
+}
+
+bool GroupDriver::ProveLeadership(Millis until) {
+  auto round = std::make_shared<std::uint64_t>(0);
+  Enqueue([this, round](RaftOutput& output) {
+    *round = StartRound(m_raft, SteadyNow(), output);
+  });
+  return m_progress.WaitUntil(
+      until, [&] { return *round != 0 && IsRoundProved(m_raft, *round); });
+}
+
+const GroupMember* GroupDriver::leader() const {
+  return FindInstance(m_raft.m_config.m_config, m_raft.m_leader);
+}
+
+std::size_t GroupDriver::journal_bytes() const {
+  return m_folder ? m_folder->journal_bytes() : 0;
+}
+
+void GroupDriver::Enqueue(Step step) {
+  m_steps.push_back(std::move(step));
+  m_work.Notify();
+}
+
+void GroupDriver::RunSteps() {
+  while (!m_loop.stopping()) {
+    (void)m_work.WaitUntil(SteadyNow() + kRaftTick,
+                           [this] { return !m_steps.empty(); });
+    std::vector<Step> steps;
+    steps.swap(m_steps);
+    RaftOutput output;
+    TickRaft(m_raft, Random(), SteadyNow(), output);
+    for (const Step& step : steps) {
+      step(output);
+    }
+    CompactIfLong(output);
+    if (const auto failure = Sync(output.m_writes)) {
+      // What can't be synced may not be acknowledged, and the file's end is
+      // not known any more.
+      LogLine(LogLevel::kError, "disk_failed").With("reason", *failure);
+      StopLog();
+      std::_Exit(kExitDiskFailed);
+    }
+    SendAll(output.m_send);
+    Apply(output);
+    m_progress.Notify();
+  }
+}
+
+std::optional<std::string> GroupDriver::Sync(
+    const std::vector<RaftWrite>& writes) {
+  std::optional<std::string> failure;
+  if (writes.empty()) {
+    return failure;
+  }
+  (void)AwaitIo([&](auto handler) {
+    boost::asio::post(m_disk, [&, handler = std::move(handler)]() mutable {
+      failure = m_folder->Write(writes);
+      boost::asio::post(m_loop.io(), [handler = std::move(handler)]() mutable {
+        handler(boost::system::error_code(), 0);
+      });
+    });
+  });
+  return failure;
+}
+
+void GroupDriver::SendAll(const std::vector<RaftEnvelope>& envelopes) {
+  for (const RaftEnvelope& envelope : envelopes) {
+    const Message message = std::visit(
+        [](const auto& value) { return Message(value); }, envelope.m_message);
+    const Result<Endpoint> endpoint = ParseEndpoint(envelope.m_to.m_peer);
+    if (endpoint) {
+      m_links.SendTo(*endpoint, message);
+      continue;
+    }
+    const auto link = m_reply_links.find(envelope.m_to.m_instance);
+    if (link != m_reply_links.end()) {
+      m_links.Send(link->second, message);
+    }
+  }
+}
+
+void GroupDriver::Apply(const RaftOutput& output) {
+  if (output.m_restore) {
+    m_consumer.m_restore(output.m_restore->m_data);
+    m_consumed = output.m_restore->m_index;
+  }
+  for (const LogEntry& entry : output.m_committed) {
+    m_consumer.m_apply(entry);
+    m_consumed = entry.m_index;
+  }
+}
+
+// The snapshot must not hold entries that this step has committed but the
+// consumer has not applied yet.
+void GroupDriver::CompactIfLong(RaftOutput& output) {
+  const bool long_log = m_raft.m_log.m_entries.size() > kCompactAfterEntries ||
+                        m_folder->journal_bytes() > kCompactAfterBytes;
+  const bool applied_all = output.m_committed.empty() && !output.m_restore;
+  if (long_log && applied_all &&
+      m_raft.m_applied > m_raft.m_log.m_snapshot.m_index) {
+    CompactLog(m_raft, m_consumer.m_snapshot(), output);
+  }
+}
+
+double GroupDriver::Random() {
+  // SplitMix64 (Steele, Lea and Flood, 2014) is enough to spread timers.
+  m_random_state += 0x9e3779b97f4a7c15;
+  std::uint64_t z = m_random_state;
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
+  return static_cast<double>((z ^ (z >> 31)) >> 11) * 0x1.0p-53;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/control/replicated_state.cc
@@ -0,0 +1,80 @@
+#include "hemlockpoint/control/replicated_state.h"
+
+#include <utility>
+
+#include "hemlockpoint/wire/fields_codec.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+struct StoredReplicatedState {
+  Bytes m_policy;
+  std::vector<ClaimSet> m_claim_sets;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("policy", self.m_policy);
+    visit("claims", self.m_claim_sets);
+  }
+};
+
+void PutClaimSet(ReplicatedState& state, const ClaimSet& set) {
+  ClaimSet& present = state.m_claim_sets[set.m_service];
+  // Two leaders may have planned the same epoch; the first one counts.
+  if (set.m_epoch == present.m_epoch + 1) {
+    present = set;
+  }
+}
+
+}  // namespace
+
+void ApplyEntry(ReplicatedState& state, const LogEntry& entry) {
+  const std::string& data = entry.m_data.m_data;
+  if (entry.m_kind == EntryKind::kChange) {
+    const auto change = DecodeFields<PolicyChange>(data);
+    if (change) {
+      (void)ApplyChange(state.m_policy, *change);
+    }
+  } else if (entry.m_kind == EntryKind::kConfig) {
+    const auto config = DecodeFields<GroupConfig>(data);
+    if (config) {
+      state.m_policy.m_admin_token_sha256 = config->m_admin_token_sha256;
+    }
+  } else if (entry.m_kind == EntryKind::kClaimSet) {
+    const auto set = DecodeFields<ClaimSet>(data);
+    if (set) {
+      PutClaimSet(state, *set);
+    }
+  }
+}
+
+std::string EncodeState(const ReplicatedState& state) {
+  StoredReplicatedState stored;
+  stored.m_policy.m_data = EncodeStore(state.m_policy);
+  for (const auto& [service, set] : state.m_claim_sets) {
+    stored.m_claim_sets.push_back(set);
+  }
+  return EncodeFields(stored);
+}
+
+Result<ReplicatedState> DecodeState(std::string_view bytes) {
+  using StateResult = Result<ReplicatedState>;
+  auto stored = DecodeFields<StoredReplicatedState>(bytes);
+  if (!stored) {
+    return StateResult::Failure(stored.reason());
+  }
+  auto policy = DecodeStore(stored->m_policy.m_data);
+  if (!policy) {
+    return StateResult::Failure(policy.reason());
+  }
+  ReplicatedState state;
+  state.m_policy = std::move(*policy);
+  for (ClaimSet& set : stored->m_claim_sets) {
+    const ServiceName service = set.m_service;
+    state.m_claim_sets[service] = std::move(set);
+  }
+  return state;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/control/replicated_state.h
@@ -0,0 +1,32 @@
+#ifndef HEMLOCKPOINT_CONTROL_REPLICATED_STATE_H_
+#define HEMLOCKPOINT_CONTROL_REPLICATED_STATE_H_
+
+#include <map>
+#include <string>
+
+#include "hemlockpoint/base/result.h"
+#include "hemlockpoint/policy/store.h"
+#include "hemlockpoint/wire/claim_messages.h"
+#include "hemlockpoint/wire/consensus_messages.h"
+
+namespace hemlockpoint {
+
+/// @brief What the replicated log builds, the same on every member.
+struct ReplicatedState {
+  PolicyStore m_policy;
+  std::map<ServiceName, ClaimSet> m_claim_sets;
+};
+
+/// @brief Applies one committed entry. Bytes that can't be decoded change
+/// nothing.
+void ApplyEntry(ReplicatedState& state, const LogEntry& entry);
+
+/// @return The state as bytes for a snapshot.
+[[nodiscard]] std::string EncodeState(const ReplicatedState& state);
+
+/// @return The state, or what is wrong with the bytes.
+[[nodiscard]] Result<ReplicatedState> DecodeState(std::string_view bytes);
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_CONTROL_REPLICATED_STATE_H_
--- a/src/hemlockpoint/ctl/commands.cc
+++ b/src/hemlockpoint/ctl/commands.cc
@@ -1,86 +1,36 @@
 #include "hemlockpoint/ctl/commands.h"
 
 #include <algorithm>
-#include <functional>
-#include <iomanip>
 #include <iostream>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <set>
 
+#include "hemlockpoint/ctl/control_commands.h"
+#include "hemlockpoint/ctl/policy_commands.h"
+
 namespace hemlockpoint {
 
 namespace {
 
 using nlohmann::ordered_json;
 
-constexpr unsigned kOk = 200;
 // Hops that one explanation follows at most.
 constexpr std::size_t kMaxExplainedNodes = 64;
 
-struct Context {
-  const CtlOptions& m_options;
-  const AdminClient& m_client;
-  std::ostream& m_out;
-  std::ostream& m_err;
-};
-
-using Command = std::function<CtlExit(Context&)>;
-
-Result<ordered_json> GetJson(const Context& context,
-                             const Endpoint& node,
-                             const std::string& path) {
-  using JsonResult = Result<ordered_json>;
-  const auto reply = context.m_client.Get(node, path);
-  if (!reply) {
-    return JsonResult::Failure(reply.reason());
-  }
-  ordered_json json = ordered_json::parse(reply->m_body, nullptr, false);
-  if (json.is_discarded()) {
-    return JsonResult::Failure(ToText(node) + ": the answer is not JSON");
-  }
-  if (reply->m_status != kOk) {
-    return JsonResult::Failure(ToText(node) + ": " + json.dump());
-  }
-  return json;
-}
-
-// Members as the first control host knows them that answers with any.
-Result<ordered_json> GetMembers(const Context& context) {
-  using JsonResult = Result<ordered_json>;
-  std::string reason = "no node is named; use --node";
-  for (const Endpoint& node : context.m_options.m_nodes) {
-    const auto json = GetJson(context, node, "/hemlock/v1/members");
-    if (json && !(*json)["members"].empty()) {
-      return (*json)["members"];
-    }
-    reason = json ? ToText(node) +
-                        " knows no members: ask the leader of the "
-                        "control group"
-                  : json.reason();
-  }
-  return JsonResult::Failure(reason);
-}
-
-CtlExit Unreachable(const Context& context, const std::string& reason) {
-  context.m_err << "hemlockctl: " << reason << "\n";
-  return CtlExit::kUnreachable;
-}
-
-void PrintRow(std::ostream& out, const std::vector<std::string>& cells) {
+const std::vector<int>& Widths() {
   static const std::vector<int> widths = {14, 12, 16, 14, 9, 7, 9, 7, 7, 7};
-  for (std::size_t i = 0; i < cells.size(); ++i) {
-    const int width = i < widths.size() ? widths[i] : 10;
-    out << std::left << std::setw(width) << cells[i] << ' ';
-  }
-  out << "\n";
+  return widths;
 }
 
-std::string Text(const ordered_json& value) {
-  return value.is_string() ? value.get<std::string>() : value.dump();
+Result<ordered_json> GetMembers(const CtlContext& context) {
+  auto json = GetFromLeader(context, "/hemlock/v1/members");
+  if (!json) {
+    return json;
+  }
+  return ordered_json((*json)["members"]);
 }
 
-CtlExit Members(Context& context) {
+CtlExit Members(CtlContext& context) {
   const auto members = GetMembers(context);
   if (!members) {
     return Unreachable(context, members.reason());
@@ -89,14 +39,15 @@
     context.m_out << members->dump(2) << "\n";
     return CtlExit::kDone;
   }
-  PrintRow(context.m_out, {"NODE", "REGION", "DOMAIN", "SERVICE", "SLOTS",
-                           "POLICY", "LEAVING"});
+  PrintRow(
+      context.m_out, Widths(),
+      {"NODE", "REGION", "DOMAIN", "SERVICE", "SLOTS", "POLICY", "LEAVING"});
   for (const auto& member : *members) {
-    PrintRow(context.m_out,
-             {Text(member["node"]), Text(member["region"]),
-              Text(member["failure_domain"]), Text(member["service"]),
-              Text(member["slots"]), Text(member["policy_revision"]),
-              Text(member["leaving"])});
+    PrintRow(context.m_out, Widths(),
+             {TextOf(member["node"]), TextOf(member["region"]),
+              TextOf(member["failure_domain"]), TextOf(member["service"]),
+              TextOf(member["slots"]), TextOf(member["policy_revision"]),
+              TextOf(member["leaving"])});
   }
   return CtlExit::kDone;
 }
@@ -105,15 +56,15 @@
 std::map<std::string, Endpoint> AdminEndpoints(const ordered_json& members) {
   std::map<std::string, Endpoint> endpoints;
   for (const auto& member : members) {
-    const auto endpoint = ParseEndpoint(Text(member["admin"]));
+    const auto endpoint = ParseEndpoint(TextOf(member["admin"]));
     if (endpoint) {
-      endpoints[Text(member["node"])] = *endpoint;
+      endpoints[TextOf(member["node"])] = *endpoint;
     }
   }
   return endpoints;
 }
 
-CtlExit Status(Context& context) {
+CtlExit Status(CtlContext& context) {
   const auto members = GetMembers(context);
   if (!members) {
     return Unreachable(context, members.reason());
@@ -129,21 +80,22 @@
     context.m_out << all.dump(2) << "\n";
     return CtlExit::kDone;
   }
-  PrintRow(context.m_out, {"NODE", "SERVICE", "CONTROL", "POLICY", "IN FLIGHT",
-                           "QUEUED", "LIMIT", "SLOTS", "SHED>", "LEAVING"});
+  PrintRow(context.m_out, Widths(),
+           {"NODE", "SERVICE", "CONTROL", "POLICY", "IN FLIGHT", "QUEUED",
+            "LIMIT", "SLOTS", "SHED>", "LEAVING"});
   for (const auto& status : all) {
     if (status.contains("error")) {
-      context.m_out << Text(status["node"]) << ": " << Text(status["error"])
+      context.m_out << TextOf(status["node"]) << ": " << TextOf(status["error"])
                     << "\n";
       continue;
     }
     const auto& target = status["target"];
-    PrintRow(context.m_out,
-             {Text(status["node"]), Text(target["service"]),
-              Text(status["control_host"]), Text(status["policy_revision"]),
-              Text(target["in_flight"]), Text(target["queued"]),
-              Text(target["limit"]), Text(target["slots"]),
-              Text(target["shed_threshold"]), Text(status["leaving"])});
+    PrintRow(context.m_out, Widths(),
+             {TextOf(status["node"]), TextOf(target["service"]),
+              TextOf(status["control_host"]), TextOf(status["policy_revision"]),
+              TextOf(target["in_flight"]), TextOf(target["queued"]),
+              TextOf(target["limit"]), TextOf(target["slots"]),
+              TextOf(target["shed_threshold"]), TextOf(status["leaving"])});
   }
   return CtlExit::kDone;
 }
@@ -151,7 +103,7 @@
 // Follows a request from the node that its id names to every hop that a
 // decision points to.
 std::vector<ordered_json> CollectDecisions(
-    const Context& context,
+    const CtlContext& context,
     const std::string& id,
     const std::map<std::string, Endpoint>& endpoints) {
   std::vector<ordered_json> decisions;
@@ -175,8 +127,8 @@
       ordered_json entry = decision;
       entry["at"] = node;
       decisions.push_back(entry);
-      to_ask.push_back(Text(decision["target"]));
-      to_ask.push_back(Text(decision["refusal"]["node"]));
+      to_ask.push_back(TextOf(decision["target"]));
+      to_ask.push_back(TextOf(decision["refusal"]["node"]));
     }
   }
   std::stable_sort(
@@ -187,26 +139,28 @@
 
 void PrintDecision(std::ostream& out, const ordered_json& decision) {
   const ordered_json& refusal = decision["refusal"];
-  out << Text(decision["hop"]) << " at " << Text(decision["at"]) << ": "
-      << Text(decision["method"]) << ' ' << Text(decision["service"])
-      << Text(decision["path"]);
-  if (!Text(decision["class"]).empty()) {
-    out << " (class " << Text(decision["class"]) << ")";
-  }
-  out << " " << Text(decision["action"]) << "\n    " << Text(refusal["outcome"])
-      << ", decided by " << Text(refusal["decided_by"]) << " at "
-      << Text(refusal["node"]) << ": " << Text(refusal["reason"]);
+  out << TextOf(decision["hop"]) << " at " << TextOf(decision["at"]) << ": "
+      << TextOf(decision["method"]) << ' ' << TextOf(decision["service"])
+      << TextOf(decision["path"]);
+  if (!TextOf(decision["class"]).empty()) {
+    out << " (class " << TextOf(decision["class"]) << ")";
+  }
+  out << " " << TextOf(decision["action"]) << "\n    "
+      << TextOf(refusal["outcome"]) << ", decided by "
+      << TextOf(refusal["decided_by"]) << " at " << TextOf(refusal["node"])
+      << ": " << TextOf(refusal["reason"]);
   if (refusal.contains("rule")) {
-    out << ", rule " << Text(refusal["section"]) << "/" << Text(refusal["rule"])
-        << " of policy revision " << Text(refusal["policy_revision"]);
+    out << ", rule " << TextOf(refusal["section"]) << "/"
+        << TextOf(refusal["rule"]) << " of policy revision "
+        << TextOf(refusal["policy_revision"]);
   } else {
-    out << ", " << Text(refusal["signal"]) << " = " << Text(refusal["value"])
-        << " against " << Text(refusal["bound"]);
+    out << ", " << TextOf(refusal["signal"]) << " = "
+        << TextOf(refusal["value"]) << " against " << TextOf(refusal["bound"]);
   }
   out << "\n";
 }
 
-CtlExit Explain(Context& context) {
+CtlExit Explain(CtlContext& context) {
   if (context.m_options.m_arguments.size() != 1) {
     context.m_err << "usage: hemlockctl explain REQUEST_ID\n";
     return CtlExit::kUsage;
@@ -233,9 +187,14 @@
   return CtlExit::kDone;
 }
 
-const std::map<std::string, Command>& Commands() {
-  static const std::map<std::string, Command> commands = {
-      {"explain", Explain}, {"members", Members}, {"status", Status}};
+const std::map<std::string, CtlCommand>& Commands() {
+  static const std::map<std::string, CtlCommand> commands = [] {
+    std::map<std::string, CtlCommand> all = {
+        {"explain", Explain}, {"members", Members}, {"status", Status}};
+    all.insert(PolicyCommands().begin(), PolicyCommands().end());
+    all.insert(ControlCommands().begin(), ControlCommands().end());
+    return all;
+  }();
   return commands;
 }
 
@@ -251,7 +210,7 @@
     err << "hemlockctl: unknown command: " << name << "\n";
     return CtlExit::kUsage;
   }
-  Context context{options, client, out, err};
+  CtlContext context{options, client, out, err};
   return command->second(context);
 }
 
--- a/src/hemlockpoint/entry/filters.cc
+++ b/src/hemlockpoint/entry/filters.cc
@@ -39,6 +39,11 @@
 
 }  // namespace
 
+bool IsAttributable(const EntryCall& call) {
+  const bool named = !call.m_request.m_caller.empty();
+  return call.m_is_root && (named || !call.m_request.m_key.empty());
+}
+
 std::optional<Refusal> FilterBlocked(EntryState&,
                                      EntryCall& call,
                                      double,
@@ -84,7 +89,7 @@
                                     EntryCall& call,
                                     double,
                                     Millis now) {
-  if (!call.m_is_root) {
+  if (!IsAttributable(call)) {
     return std::nullopt;
   }
   const ResendVerdict verdict =
--- a/src/hemlockpoint/entry/filters.h
+++ b/src/hemlockpoint/entry/filters.h
@@ -94,6 +94,10 @@
                                                       double random,
                                                       Millis now);
 
+/// @return Whether an equal request can be taken for a resend of this one.
+/// Equal requests of nameless callers without a key may come from anyone.
+[[nodiscard]] bool IsAttributable(const EntryCall& call);
+
 /// @brief Charges resends of failed root requests to their caller.
 [[nodiscard]] std::optional<Refusal> FilterResend(EntryState& state,
                                                   EntryCall& call,
--- a/src/hemlockpoint/node/admin_service.cc
+++ b/src/hemlockpoint/node/admin_service.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kContentTooLarge = 413;
 
@@ -104,14 +103,19 @@
   return values;
 }
 
-AdminResponse AdminError(unsigned status, const std::string& text) {
+AdminResponse JsonResponse(const nlohmann::ordered_json& json,
+                           unsigned status) {
   AdminResponse response;
-  response.m_status = status == 0 ? kBadRequest : status;
+  response.m_status = status;
   response.m_body =
-      nlohmann::json{{"error", text}}.dump(
-          -1, ' ', false, nlohmann::json::error_handler_t::replace) +
+      json.dump(-1, ' ', false,
+                nlohmann::ordered_json::error_handler_t::replace) +
       "\n";
   return response;
 }
 
+AdminResponse AdminError(unsigned status, const std::string& text) {
+  return JsonResponse({{"error", text}}, status);
+}
+
 }  // namespace hemlockpoint
--- a/src/hemlockpoint/node/admin_service.h
+++ b/src/hemlockpoint/node/admin_service.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
 
@@ -47,6 +48,10 @@
 [[nodiscard]] std::map<std::string, std::string> ParseQuery(
     std::string_view query);
 
+/// @return A response whose body is the JSON value and a line end.
+[[nodiscard]] AdminResponse JsonResponse(const nlohmann::ordered_json& json,
+                                         unsigned status = 200);
+
 /// @return A response whose body is {"error": text}.
 [[nodiscard]] AdminResponse AdminError(unsigned status,
                                        const std::string& text);
--- /dev/null
+++ b/src/hemlockpoint/node/claim_service.cc
@@ -0,0 +1,239 @@
+#include "hemlockpoint/node/claim_service.h"
+
+#include <utility>
+
+#include "hemlockpoint/log/log.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr Millis kReplyTimeout(400);
+constexpr Millis kRetryPause(30);
+constexpr int kEndAttempts = 20;
+// Ends that are being told at a time; beyond it a key stays held until its
+// claim expires.
+constexpr std::size_t kMaxEnders = 4096;
+
+const ClaimMember* FindReplica(const ClaimSet& set, const NodeId& node) {
+  for (const ClaimMember& member : set.m_members) {
+    if (member.m_node == node) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+ClaimService::ClaimService(NodeCore& core) : m_core(core) {}
+
+void ClaimService::Handle(const ClaimSets& sets) {
+  const Millis now = SteadyNow();
+  const ReplicaLife self{m_core.m_settings.m_node, m_core.m_incarnation};
+  for (const ClaimSet& set : sets.m_sets) {
+    ClaimSet& known = m_sets[set.m_service];
+    if (set.m_epoch <= known.m_epoch) {
+      continue;
+    }
+    known = set;
+    if (FindReplica(set, self.m_node) == nullptr) {
+      m_replicas.erase(set.m_service);
+      continue;
+    }
+    const auto replica = m_replicas.find(set.m_service);
+    if (replica == m_replicas.end()) {
+      m_replicas.emplace(set.m_service, StartReplica(self, set, now));
+    } else {
+      AdoptSet(replica->second, set, now);
+    }
+  }
+}
+
+void ClaimService::Handle(LinkId link, const ClaimRequest& request) {
+  const auto replica = m_replicas.find(request.m_service);
+  ClaimReply reply;
+  if (replica == m_replicas.end()) {
+    reply.m_number = request.m_number;
+    reply.m_replica = {m_core.m_settings.m_node, m_core.m_incarnation};
+  } else {
+    reply = HandleClaim(replica->second, request, SteadyNow());
+  }
+  m_core.m_links->Send(link, reply);
+}
+
+void ClaimService::Handle(const ClaimReply& reply) {
+  const auto pending = m_pending.find(reply.m_number);
+  if (pending != m_pending.end()) {
+    RecordReply(pending->second->m_attempt, reply);
+    pending->second->m_changed.Notify();
+  }
+}
+
+void ClaimService::Handle(LinkId link, const ClaimSync& sync) {
+  const auto replica = m_replicas.find(sync.m_service);
+  if (replica != m_replicas.end()) {
+    m_core.m_links->Send(link, HandleSync(replica->second, sync, SteadyNow()));
+  }
+}
+
+void ClaimService::Handle(const ClaimSyncReply& reply) {
+  const auto replica = m_replicas.find(reply.m_service);
+  if (replica == m_replicas.end()) {
+    return;
+  }
+  if (ApplySync(replica->second, reply, SteadyNow())) {
+    SendSyncs(replica->second);
+  }
+  if (replica->second.m_valid) {
+    LogLine(LogLevel::kInfo, "claims_copied")
+        .With("service", reply.m_service.value())
+        .With("claims",
+              static_cast<std::uint64_t>(replica->second.m_claims.size()));
+  }
+}
+
+void ClaimService::SendSyncs(const ClaimReplica& replica) {
+  for (const auto& [source, sync] : NextSyncs(replica)) {
+    const ClaimMember* member = FindReplica(replica.m_set, source);
+    const auto endpoint =
+        ParseEndpoint(member == nullptr ? "" : member->m_peer);
+    if (endpoint) {
+      m_core.m_links->SendTo(*endpoint, sync);
+    }
+  }
+}
+
+void ClaimService::Tick() {
+  for (auto& [service, replica] : m_replicas) {
+    AdvanceReplica(replica, SteadyNow());
+    SendSyncs(replica);
+  }
+}
+
+void ClaimService::SendToReplicas(const ClaimSet& set,
+                                  const ClaimRequest& request,
+                                  const ClaimAttempt& answered) {
+  for (const ClaimMember& member : set.m_members) {
+    if (answered.m_replies.count(member.m_node) != 0) {
+      continue;
+    }
+    const auto own = m_replicas.find(request.m_service);
+    const bool self = member.m_node == m_core.m_settings.m_node;
+    if (self && own != m_replicas.end()) {
+      Handle(HandleClaim(own->second, request, SteadyNow()));
+    } else if (const auto endpoint = ParseEndpoint(member.m_peer)) {
+      m_core.m_links->SendTo(*endpoint, request);
+    }
+  }
+}
+
+ClaimResult ClaimService::TryOnce(ClaimRequest request, Millis until) {
+  const ClaimSet set = m_sets[request.m_service];
+  request.m_number = ++m_last_number;
+  request.m_epoch = set.m_epoch;
+  Pending pending;
+  pending.m_attempt.m_epoch = set.m_epoch;
+  pending.m_attempt.m_replicas = set.m_members.size();
+  m_pending[request.m_number] = &pending;
+  SendToReplicas(set, request, pending.m_attempt);
+  (void)pending.m_changed.WaitUntil(
+      Min(until, SteadyNow() + kReplyTimeout), [&pending] {
+        return Judge(pending.m_attempt) != AttemptState::kPending;
+      });
+  m_pending.erase(request.m_number);
+  ClaimResult result;
+  result.m_state = Judge(pending.m_attempt);
+  if (result.m_state == AttemptState::kPending) {
+    result.m_state = HolderOf(pending.m_attempt) != nullptr
+                         ? AttemptState::kHeld
+                         : AttemptState::kUnavailable;
+  }
+  if (const ClaimReply* holder = HolderOf(pending.m_attempt)) {
+    result.m_holder = *holder;
+  }
+  return result;
+}
+
+ClaimResult ClaimService::Acquire(const ServiceName& service,
+                                  const std::string& key,
+                                  const Claimant& claimant,
+                                  Fingerprint fingerprint,
+                                  Millis until) {
+  ClaimRequest request;
+  request.m_service = service;
+  request.m_key = key;
+  request.m_claimant = claimant;
+  request.m_fingerprint = fingerprint;
+  ClaimResult result;
+  while (true) {
+    if (m_sets[service].m_epoch != 0) {
+      result = TryOnce(request, until);
+    }
+    const bool settled = result.m_state != AttemptState::kUnavailable;
+    if (settled || SteadyNow() + kRetryPause >= until) {
+      break;
+    }
+    SleepFor(kRetryPause * (1 + m_core.Random()));
+  }
+  if (result.m_state != AttemptState::kOwned) {
+    End(ClaimStep::kRelease, service, key, claimant, fingerprint, "");
+  }
+  return result;
+}
+
+void ClaimService::End(ClaimStep step,
+                       const ServiceName& service,
+                       const std::string& key,
+                       const Claimant& claimant,
+                       Fingerprint fingerprint,
+                       const std::string& answer) {
+  const ClaimSet set = m_sets[service];
+  if (m_enders >= kMaxEnders || set.m_epoch == 0) {
+    return;
+  }
+  ClaimRequest request;
+  request.m_number = ++m_last_number;
+  request.m_step = step;
+  request.m_service = service;
+  request.m_epoch = set.m_epoch;
+  request.m_key = key;
+  request.m_claimant = claimant;
+  request.m_fingerprint = fingerprint;
+  if (answer.size() <= kMaxKeptAnswerBytes) {
+    request.m_answer.m_data = answer;
+  }
+  ++m_enders;
+  m_core.m_loop.Spawn([this, set, request] {
+    Pending pending;
+    pending.m_attempt.m_replicas = set.m_members.size();
+    m_pending[request.m_number] = &pending;
+    const auto all_heard = [&pending] {
+      return pending.m_attempt.m_replies.size() >= pending.m_attempt.m_replicas;
+    };
+    for (int i = 0; i < kEndAttempts && !all_heard(); ++i) {
+      SendToReplicas(set, request, pending.m_attempt);
+      (void)pending.m_changed.WaitUntil(SteadyNow() + kReplyTimeout, all_heard);
+    }
+    m_pending.erase(request.m_number);
+    --m_enders;
+  });
+}
+
+std::size_t ClaimService::claims() const {
+  std::size_t count = 0;
+  for (const auto& [service, replica] : m_replicas) {
+    count += replica.m_claims.size();
+  }
+  return count;
+}
+
+std::size_t ClaimService::valid_replicas() const {
+  std::size_t count = 0;
+  for (const auto& [service, replica] : m_replicas) {
+    count += replica.m_valid ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/node/control_operations.cc
@@ -0,0 +1,352 @@
+#include "hemlockpoint/node/control_operations.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include "hemlockpoint/http/heads.h"
+#include "hemlockpoint/node/status.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kForbidden = 403;
+constexpr unsigned kConflict = 409;
+// The request should go to the leader (RFC 9110, 15.5.20).
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kUnprocessable = 422;
+constexpr unsigned kUnavailable = 503;
+
+std::string TokenDigestOf(const AdminRequest& request) {
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string_view value =
+      FindHeader(request.m_headers, "Authorization").value_or("");
+  return value.size() > kScheme.size()
+             ? TokenDigest(value.substr(kScheme.size()))
+             : "";
+}
+
+AdminResponse NotLeader(const ControlService& control) {
+  ordered_json json;
+  json["error"] = "this host does not lead the control group";
+  const GroupMember* leader = control.group().leader();
+  json["leader_admin"] = leader == nullptr ? "" : leader->m_admin;
+  return JsonResponse(json, kMisdirected);
+}
+
+std::string StringAt(const ordered_json& json, const char* key) {
+  const auto found = json.find(key);
+  const bool usable = found != json.end() && found->is_string();
+  return usable ? found->get<std::string>() : "";
+}
+
+ordered_json ToJson(const std::vector<Finding>& findings) {
+  ordered_json list = ordered_json::array();
+  for (const Finding& finding : findings) {
+    list.push_back({{"section", finding.m_place.m_source},
+                    {"line", finding.m_place.m_line},
+                    {"column", finding.m_place.m_column},
+                    {"text", finding.m_text}});
+  }
+  return list;
+}
+
+ordered_json ToJson(const HistoryEntry& entry) {
+  return {{"revision", entry.m_revision.value()},
+          {"section", entry.m_section},
+          {"change_id", entry.m_change_id},
+          {"actor", entry.m_actor},
+          {"unix_ms", entry.m_unix_ms}};
+}
+
+AdminResponse ToResponse(const ChangeResult& result) {
+  ordered_json json;
+  json["revision"] = result.m_revision.value();
+  switch (result.m_status) {
+    case ChangeStatus::kAccepted:
+      json["status"] = "accepted";
+      return JsonResponse(json, kOk);
+    case ChangeStatus::kConflict:
+      json["status"] = "conflict";
+      json["winner"] = ToJson(result.m_winner);
+      return JsonResponse(json, kConflict);
+    case ChangeStatus::kInvalid:
+      json["status"] = "invalid";
+      json["findings"] = ToJson(result.m_findings);
+      return JsonResponse(json, kUnprocessable);
+    case ChangeStatus::kForbidden:
+      break;
+  }
+  json["status"] = "forbidden";
+  json["error"] = "the token may not change this section";
+  return JsonResponse(json, kForbidden);
+}
+
+// What is wrong with a change before the document is looked at.
+std::string FaultOf(const PolicyChange& change) {
+  if (change.m_section.empty()) {
+    return "section is missing";
+  }
+  if (change.m_change_id.empty() ||
+      change.m_change_id.size() > kMaxChangeIdBytes) {
+    return "change_id: expected 1 to 64 bytes";
+  }
+  if (change.m_actor.size() > kMaxActorBytes) {
+    return "actor: at most 64 bytes";
+  }
+  if (change.m_text.size() > kMaxSectionBytes) {
+    return "text: at most 64 KiB";
+  }
+  return "";
+}
+
+AdminResponse ApplyPolicy(ControlService& control,
+                          const AdminRequest& request) {
+  const ordered_json json = ordered_json::parse(request.m_body, nullptr, false);
+  if (!json.is_object()) {
+    return AdminError(kBadRequest, "the body is not a JSON object");
+  }
+  const auto base = json.find("base");
+  if (base == json.end() || !base->is_number_unsigned()) {
+    return AdminError(kBadRequest, "base: expected a revision");
+  }
+  PolicyChange change;
+  change.m_section = StringAt(json, "section");
+  change.m_base = Revision(base->get<std::uint64_t>());
+  change.m_change_id = StringAt(json, "change_id");
+  change.m_actor = StringAt(json, "actor");
+  change.m_text = StringAt(json, "text");
+  change.m_token_sha256 = TokenDigestOf(request);
+  change.m_unix_ms = UnixMillis();
+  const std::string fault = FaultOf(change);
+  if (!fault.empty()) {
+    return AdminError(kBadRequest, fault);
+  }
+  const ChangeOutcome outcome = control.Change(change);
+  if (outcome.m_kind == ChangeOutcome::Kind::kNotLeader) {
+    return NotLeader(control);
+  }
+  if (outcome.m_kind == ChangeOutcome::Kind::kUnknown) {
+    ordered_json unknown;
+    unknown["status"] = "unknown";
+    unknown["error"] =
+        outcome.m_reason + "; send the change again with the same change_id";
+    return JsonResponse(unknown, kUnavailable);
+  }
+  return ToResponse(outcome.m_result);
+}
+
+AdminResponse ShowPolicy(ControlService& control) {
+  if (!control.ProveLeadership()) {
+    return NotLeader(control);
+  }
+  const PolicyDocument& document = control.state().m_policy.m_document;
+  ordered_json sections = ordered_json::object();
+  for (const auto& [name, section] : document.m_sections) {
+    sections[name] = {{"revision", section.m_revision.value()},
+                      {"text", section.m_text}};
+  }
+  ordered_json json;
+  json["revision"] = document.m_revision.value();
+  json["sections"] = sections;
+  return JsonResponse(json);
+}
+
+AdminResponse ShowHistory(ControlService& control) {
+  if (!control.ProveLeadership()) {
+    return NotLeader(control);
+  }
+  ordered_json entries = ordered_json::array();
+  for (const HistoryEntry& entry : control.state().m_policy.m_history) {
+    entries.push_back(ToJson(entry));
+  }
+  return JsonResponse({{"history", entries}});
+}
+
+AdminResponse ShowPolicyStatus(ControlService& control) {
+  if (!control.ProveLeadership()) {
+    return NotLeader(control);
+  }
+  const Revision revision = control.state().m_policy.m_document.m_revision;
+  ordered_json nodes = ordered_json::array();
+  for (const auto& [name, member] : control.directory().m_members) {
+    if (member.m_gone) {
+      continue;
+    }
+    const Revision in_force = member.m_entry.m_revision;
+    nodes.push_back({{"node", name.value()},
+                     {"revision", in_force.value()},
+                     {"lags", in_force < revision}});
+  }
+  return JsonResponse({{"revision", revision.value()}, {"nodes", nodes}});
+}
+
+AdminResponse ShowMembers(ControlService& control) {
+  if (!control.group().is_leader()) {
+    return NotLeader(control);
+  }
+  ordered_json members = ordered_json::array();
+  for (const auto& [node, member] : control.directory().m_members) {
+    if (!member.m_gone) {
+      members.push_back(ToJson(member.m_entry));
+    }
+  }
+  return JsonResponse({{"members", members}});
+}
+
+AdminResponse ShowGroup(const ControlService& control) {
+  const RaftState& raft = control.group().raft();
+  static constexpr const char* kRoles[] = {"follower", "pre_candidate",
+                                           "candidate", "leader"};
+  ordered_json members = ordered_json::array();
+  for (const GroupMember& member : raft.m_config.m_config.m_members) {
+    members.push_back({{"node", member.m_node.value()},
+                       {"instance", member.m_instance},
+                       {"peer", member.m_peer},
+                       {"admin", member.m_admin},
+                       {"voter", member.m_voter},
+                       {"leads", member.m_instance == raft.m_leader}});
+  }
+  ordered_json claims = ordered_json::array();
+  for (const auto& [service, set] : control.state().m_claim_sets) {
+    ordered_json nodes = ordered_json::array();
+    for (const ClaimMember& member : set.m_members) {
+      nodes.push_back(member.m_node.value());
+    }
+    claims.push_back({{"service", service.value()},
+                      {"epoch", set.m_epoch},
+                      {"replicas", nodes}});
+  }
+  ordered_json json;
+  json["group_id"] = raft.m_config.m_config.m_group_id;
+  json["instance"] = raft.m_instance;
+  json["role"] = kRoles[static_cast<int>(raft.m_role)];
+  json["term"] = raft.m_hard.m_term;
+  json["commit"] = raft.m_commit;
+  json["last_index"] = LastIndex(raft.m_log);
+  json["snapshot_index"] = raft.m_log.m_snapshot.m_index;
+  json["journal_bytes"] = control.group().journal_bytes();
+  json["proof_age_ms"] = Min(ProofAge(raft, SteadyNow()), Millis(1e9)).value();
+  json["members"] = members;
+  json["claim_sets"] = claims;
+  return JsonResponse(json);
+}
+
+bool IsAdmin(const ControlService& control, const AdminRequest& request) {
+  const std::string& admin =
+      control.group().raft().m_config.m_config.m_admin_token_sha256;
+  return !admin.empty() && TokenDigestOf(request) == admin;
+}
+
+AdminResponse Done(const std::optional<std::string>& error) {
+  if (error) {
+    return AdminError(kConflict, *error);
+  }
+  return JsonResponse({{"status", "done"}});
+}
+
+AdminResponse InitGroup(ControlService& control, const AdminRequest& request) {
+  const std::string token = TokenDigestOf(request);
+  if (token.empty()) {
+    return AdminError(kForbidden, "the administrator's token is missing");
+  }
+  return Done(control.InitGroup(token));
+}
+
+// Runs a change of the group's members for its administrator.
+template <typename Change>
+AdminResponse ChangeGroup(ControlService& control,
+                          const AdminRequest& request,
+                          Change change) {
+  if (!control.ProveLeadership()) {
+    return NotLeader(control);
+  }
+  if (!IsAdmin(control, request)) {
+    return AdminError(kForbidden, "not the administrator's token");
+  }
+  const ordered_json json = ordered_json::parse(request.m_body, nullptr, false);
+  if (!json.is_object()) {
+    return AdminError(kBadRequest, "the body is not a JSON object");
+  }
+  return change(json);
+}
+
+AdminResponse AddHost(ControlService& control, const ordered_json& json) {
+  const auto peer = ParseEndpoint(StringAt(json, "peer"));
+  if (!peer) {
+    return AdminError(kBadRequest, "peer: " + peer.reason());
+  }
+  return Done(control.AddHost(NodeId(StringAt(json, "node")), *peer));
+}
+
+AdminResponse LiftRequest(ControlService& control, const ordered_json& json) {
+  const std::string text = StringAt(json, "fingerprint");
+  const Fingerprint request(std::strtoull(text.c_str(), nullptr, 16));
+  if (!control.LiftQuarantine(request)) {
+    return Done("no such request is suspected or quarantined");
+  }
+  return Done(std::nullopt);
+}
+
+AdminResponse ShowQuarantine(ControlService& control) {
+  if (!control.group().is_leader()) {
+    return NotLeader(control);
+  }
+  ordered_json rows = ordered_json::array();
+  for (const auto& [request, entry] : control.quarantine().m_entries) {
+    char text[20];
+    std::snprintf(text, sizeof(text), "%016llx",
+                  static_cast<unsigned long long>(request.value()));
+    const bool quarantined = entry.m_state == SuspectState::kQuarantined;
+    rows.push_back({{"fingerprint", text},
+                    {"state", quarantined ? "quarantined" : "suspect"},
+                    {"ms_left", (entry.m_expires - SteadyNow()).value()}});
+  }
+  return JsonResponse({{"requests", rows}});
+}
+
+}  // namespace
+
+void AddControlOperations(AdminService& admin, ControlService& control) {
+  using Request = const AdminRequest&;
+  admin.Add("GET /hemlock/v1/members",
+            [&control](Request) { return ShowMembers(control); });
+  admin.Add("GET /hemlock/v1/policy",
+            [&control](Request) { return ShowPolicy(control); });
+  admin.Add("GET /hemlock/v1/policy/history",
+            [&control](Request) { return ShowHistory(control); });
+  admin.Add("GET /hemlock/v1/policy/status",
+            [&control](Request) { return ShowPolicyStatus(control); });
+  admin.Add("POST /hemlock/v1/policy/apply", [&control](Request request) {
+    return ApplyPolicy(control, request);
+  });
+  admin.Add("GET /hemlock/v1/control",
+            [&control](Request) { return ShowGroup(control); });
+  admin.Add("POST /hemlock/v1/control/init", [&control](Request request) {
+    return InitGroup(control, request);
+  });
+  admin.Add("POST /hemlock/v1/control/add", [&control](Request request) {
+    return ChangeGroup(control, request, [&](const ordered_json& json) {
+      return AddHost(control, json);
+    });
+  });
+  admin.Add("POST /hemlock/v1/control/remove", [&control](Request request) {
+    return ChangeGroup(control, request, [&](const ordered_json& json) {
+      return Done(control.RemoveHost(NodeId(StringAt(json, "node"))));
+    });
+  });
+  admin.Add("GET /hemlock/v1/quarantine",
+            [&control](Request) { return ShowQuarantine(control); });
+  admin.Add("POST /hemlock/v1/quarantine/lift", [&control](Request request) {
+    return ChangeGroup(control, request, [&](const ordered_json& json) {
+      return LiftRequest(control, json);
+    });
+  });
+}
+
+}  // namespace hemlockpoint
--- a/src/hemlockpoint/node/core.h
+++ b/src/hemlockpoint/node/core.h
@@ -34,6 +34,9 @@
   InboundRecords m_records;
   /// Members by node, as far as this node was told.
   std::map<NodeId, MemberEntry> m_members;
+  /// The policy document in force, and whether a leader has told it.
+  PolicyDocument m_document;
+  bool m_policy_known = false;
   DecisionLog m_decisions;
   Counters m_counters;
   /// Set before the controllers run; outlives them.
--- a/src/hemlockpoint/node/entry_service.cc
+++ b/src/hemlockpoint/node/entry_service.cc
@@ -42,6 +42,7 @@
   std::uint64_t m_child_number = 0;
 
   std::vector<NodeId> m_tried;
+  std::optional<NodeId> m_redirect;
   std::size_t m_reroutes = 0;
   std::size_t m_attempts = 0;
   std::optional<ChildGrant> m_grant;
@@ -99,6 +100,9 @@
         {"entry_calls", static_cast<double>(m_core.m_entry_calls),
          static_cast<double>(limits.m_calls)});
   }
+  if (!m_core.m_policy_known) {
+    return RefuseBySignal(Reason::kPolicyUnknown, {"policy_revision", 0, 1});
+  }
   const auto first = progress.m_exchange.ReadBody();
   if (!first) {
     const bool large = progress.m_exchange.body_too_large();
@@ -188,57 +192,103 @@
   }
   std::optional<Refusal> last;
   while (true) {
-    Balancer& balancer = m_core.m_entry.m_services[call.m_request.m_service];
-    const auto node =
-        ChooseTarget(balancer, progress.m_tried, m_core.m_settings.m_region,
-                     {m_core.Random(), m_core.Random()}, SteadyNow());
+    const auto node = NextTarget(progress);
     if (!node) {
       Refusal none = RefuseBySignal(Reason::kNoTarget, {"targets", 0, 1});
       none.m_retry_after = kNoTargetRetryAfter;
       return last ? last : none;
     }
-    if (!progress.m_grant) {
-      progress.m_grant =
-          ChargeChild(BudgetOf(progress),
-                      m_core.m_entry.m_retry_buckets[call.m_request.m_service],
-                      call.m_fingerprint, call.m_verdict.m_ratio_per_hop);
-    }
-    if (!progress.m_grant && m_core.m_entry.m_pass_through) {
-      progress.m_grant = ChildGrant();
-    }
-    if (!progress.m_grant) {
+    if (!progress.m_grant && !Charge(progress)) {
       return last ? last
                   : RefuseByRule(Reason::kRetryBudget,
                                  call.m_verdict.m_repetition_rule);
     }
     const Millis sent = SteadyNow();
+    progress.m_answer.reset();
     last = TryTarget(progress, *node);
     RecordAttempt(progress, *node, last, sent);
     if (!last || progress.m_caller_gone) {
       return std::nullopt;
     }
     progress.m_any_unknown |= last->m_execution == Execution::kUnknown;
-    const AttemptEnd end{call.m_verdict.m_idempotent, !progress.m_body_taken,
-                         SteadyNow() < call.m_deadline, progress.m_reroutes};
-    const NextStep step = m_core.m_entry.m_pass_through
-                              ? NextStep::kGiveUp
-                              : DecideNextStep(*last, end);
-    if (step == NextStep::kGiveUp) {
+    if (!PlanNextAttempt(progress, *node, *last)) {
       return last;
     }
-    const bool reroute = step == NextStep::kReroute;
-    Note(progress, *node, *last, reroute ? "rerouted" : "retried");
-    progress.m_tried.push_back(*node);
-    if (reroute) {
-      ++progress.m_reroutes;
-      ++m_core.m_counters.m_reroutes;
-    } else {
-      progress.m_grant.reset();
-      ++m_core.m_counters.m_retries;
-    }
   }
 }
 
+std::optional<NodeId> EntryService::NextTarget(Progress& progress) {
+  if (progress.m_redirect) {
+    return std::exchange(progress.m_redirect, std::nullopt);
+  }
+  const Balancer& balancer =
+      m_core.m_entry.m_services[progress.m_call.m_request.m_service];
+  return ChooseTarget(balancer, progress.m_tried, m_core.m_settings.m_region,
+                      {m_core.Random(), m_core.Random()}, SteadyNow());
+}
+
+// Charges an attempt to the budget of the root request.
+bool EntryService::Charge(Progress& progress) {
+  const EntryCall& call = progress.m_call;
+  progress.m_grant =
+      ChargeChild(BudgetOf(progress),
+                  m_core.m_entry.m_retry_buckets[call.m_request.m_service],
+                  call.m_fingerprint, call.m_verdict.m_ratio_per_hop);
+  if (!progress.m_grant && m_core.m_entry.m_pass_through) {
+    progress.m_grant = ChildGrant();
+  }
+  return progress.m_grant.has_value();
+}
+
+// Decides whether the call goes on after an attempt without an answer, and
+// prepares the next one.
+bool EntryService::PlanNextAttempt(Progress& progress,
+                                   const NodeId& node,
+                                   const Refusal& refusal) {
+  const EntryCall& call = progress.m_call;
+  progress.m_tried.push_back(node);
+  const AttemptEnd end{call.m_verdict.m_idempotent, !progress.m_body_taken,
+                       SteadyNow() < call.m_deadline, progress.m_reroutes};
+  NextStep step = m_core.m_entry.m_pass_through ? NextStep::kGiveUp
+                                                : DecideNextStep(refusal, end);
+  if (progress.m_answer && !progress.m_answer->m_redirect.empty()) {
+    step = FollowRedirect(progress, end);
+  }
+  if (step == NextStep::kGiveUp) {
+    return false;
+  }
+  const bool reroute = step == NextStep::kReroute;
+  Note(progress, node, refusal, reroute ? "rerouted" : "retried");
+  if (!reroute) {
+    progress.m_grant.reset();
+    ++m_core.m_counters.m_retries;
+    return true;
+  }
+  ++progress.m_reroutes;
+  ++m_core.m_counters.m_reroutes;
+  CallBudget& budget = BudgetOf(progress);
+  if (!progress.m_answer) {
+    SettleChild(budget, *progress.m_grant, 0);
+  }
+  progress.m_grant = RegrantChild(budget, *progress.m_grant);
+  return true;
+}
+
+// A resend goes to the node that runs the first call with its key.
+NextStep EntryService::FollowRedirect(Progress& progress,
+                                      const AttemptEnd& end) {
+  const NodeId& holder = progress.m_answer->m_redirect;
+  const bool tried = std::find(progress.m_tried.begin(), progress.m_tried.end(),
+                               holder) != progress.m_tried.end();
+  const bool possible = !tried && end.m_replayable && end.m_time_left &&
+                        end.m_reroutes < kMaxReroutes;
+  if (!possible) {
+    return NextStep::kGiveUp;
+  }
+  progress.m_redirect = holder;
+  return NextStep::kReroute;
+}
+
 CallStart EntryService::MakeStart(const Progress& progress) const {
   const EntryCall& call = progress.m_call;
   CallStart start;
@@ -422,6 +472,9 @@
   head.m_content_length = ContentLengthOf(answer);
   head.m_headers = AnswerFields(answer.m_headers, progress.m_call.m_root,
                                 progress.m_attempts);
+  if (answer.m_replayed) {
+    head.m_headers.push_back({field::kReplayed, "true"});
+  }
   BodyPipe& body = progress.m_outbound.m_state->m_answer_body;
   if (answer.m_complete) {
     std::string whole;
@@ -466,7 +519,7 @@
   const NodeId target =
       progress.m_tried.empty() ? NodeId() : progress.m_tried.back();
   Note(progress, target, refusal, "refused");
-  if (call.m_is_root && call.m_policy) {
+  if (call.m_policy && IsAttributable(call)) {
     const Millis now = SteadyNow();
     FailedRequest failure;
     failure.m_root = call.m_root;
--- a/src/hemlockpoint/node/entry_service.h
+++ b/src/hemlockpoint/node/entry_service.h
@@ -8,6 +8,7 @@
 #include "hemlockpoint/http/server.h"
 #include "hemlockpoint/node/core.h"
 #include "hemlockpoint/node/target_gate.h"
+#include "hemlockpoint/retry/next_step.h"
 
 namespace hemlockpoint {
 
@@ -25,12 +26,17 @@
   void Serve(HttpExchange& exchange);
 
  private:
-  struct Attempt;
   struct Progress;
 
   std::optional<Refusal> Prepare(Progress& progress);
   std::optional<Refusal> TieToParent(EntryCall& call);
   std::optional<Refusal> Send(Progress& progress);
+  std::optional<NodeId> NextTarget(Progress& progress);
+  bool Charge(Progress& progress);
+  bool PlanNextAttempt(Progress& progress,
+                       const NodeId& node,
+                       const Refusal& refusal);
+  static NextStep FollowRedirect(Progress& progress, const AttemptEnd& end);
   std::optional<Refusal> TryTarget(Progress& progress, const NodeId& node);
   Result<OutboundCall> Open(Progress& progress, const NodeId& node);
   CallStart MakeStart(const Progress& progress) const;
--- a/src/hemlockpoint/node/membership_client.cc
+++ b/src/hemlockpoint/node/membership_client.cc
@@ -91,10 +91,10 @@
   return heartbeat;
 }
 
-void MembershipClient::Handle(LinkId, const HeartbeatAck& ack) {
+bool MembershipClient::Handle(const HeartbeatAck& ack) {
   if (ack.m_leading && ack.m_proof_age < kLeaderProofFor) {
     m_last_good_ack = SteadyNow() - ack.m_proof_age;
-    return;
+    return true;
   }
   const Result<Endpoint> leader = ParseEndpoint(ack.m_leader);
   if (leader && !(*leader == m_control)) {
@@ -102,6 +102,7 @@
     m_asked_since = SteadyNow();
     HeartbeatSoon();
   }
+  return false;
 }
 
 void MembershipClient::Handle(const DirectoryDelta& delta) {
--- a/src/hemlockpoint/node/membership_client.h
+++ b/src/hemlockpoint/node/membership_client.h
@@ -22,7 +22,8 @@
   /// @brief Sends a heartbeat soon, because something has changed.
   void HeartbeatSoon();
 
-  void Handle(LinkId link, const HeartbeatAck& ack);
+  /// @return Whether the answer came from a leader with fresh proof.
+  bool Handle(const HeartbeatAck& ack);
   void Handle(const DirectoryDelta& delta);
 
   /// @brief Makes a service known and waits a moment for its members, the
--- a/src/hemlockpoint/node/node.cc
+++ b/src/hemlockpoint/node/node.cc
@@ -7,9 +7,13 @@
 #include "hemlockpoint/http/server.h"
 #include "hemlockpoint/log/log.h"
 #include "hemlockpoint/node/admin_service.h"
+#include "hemlockpoint/node/claim_service.h"
+#include "hemlockpoint/node/control_operations.h"
 #include "hemlockpoint/node/core.h"
 #include "hemlockpoint/node/entry_service.h"
+#include "hemlockpoint/node/keyed_calls.h"
 #include "hemlockpoint/node/membership_client.h"
+#include "hemlockpoint/node/policy_client.h"
 #include "hemlockpoint/node/status.h"
 #include "hemlockpoint/node/target_gate.h"
 #include "hemlockpoint/report/refusal_json.h"
@@ -41,15 +45,6 @@
   return hello;
 }
 
-AdminResponse JsonResponse(const nlohmann::ordered_json& json) {
-  AdminResponse response;
-  response.m_body =
-      json.dump(-1, ' ', false,
-                nlohmann::ordered_json::error_handler_t::replace) +
-      "\n";
-  return response;
-}
-
 }  // namespace
 
 struct Node::State {
@@ -65,7 +60,10 @@
                    Dispatch(link, message);
                  },
                  [this](LinkId link, const NodeId&) { LinkClosed(link); }}),
-        m_gate(m_core),
+        m_claims(m_core),
+        m_keyed(m_core, m_claims),
+        m_policy(m_core),
+        m_gate(m_core, m_keyed),
         m_membership(m_core, m_gate),
         m_entry(m_core,
                 m_gate,
@@ -79,6 +77,9 @@
           m_admin.Serve(exchange);
         }) {
     m_core.m_links = &m_links;
+    m_gate.OnSuspects([this](const std::vector<Fingerprint>& changed) {
+      ReportSuspects(changed);
+    });
     if (settings.m_is_control) {
       m_control = std::make_unique<ControlService>(settings, loop, m_links);
     }
@@ -91,15 +92,75 @@
   }
 
   void Dispatch(LinkId link, const Message& message) {
-    if (const auto* ack = std::get_if<HeartbeatAck>(&message)) {
-      m_membership.Handle(link, *ack);
-    } else if (const auto* delta = std::get_if<DirectoryDelta>(&message)) {
-      m_membership.Handle(*delta);
-    } else if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
-      if (m_control) {
-        m_control->Handle(link, *heartbeat);
+    std::visit([&](const auto& value) { On(link, value); }, message);
+  }
+
+  // Parts of calls never come this way.
+  template <typename Other>
+  void On(LinkId, const Other&) {}
+
+  void On(LinkId, const HeartbeatAck& ack) {
+    if (m_membership.Handle(ack) && ack.m_revision == Revision()) {
+      m_policy.OnEmptyDocument();
+    }
+  }
+  void On(LinkId, const DirectoryDelta& delta) { m_membership.Handle(delta); }
+  void On(LinkId, const PolicyPush& push) {
+    if (m_policy.Handle(push)) {
+      m_membership.HeartbeatSoon();
+    }
+  }
+  void On(LinkId, const ClaimSets& sets) { m_claims.Handle(sets); }
+  void On(LinkId link, const ClaimRequest& request) {
+    m_claims.Handle(link, request);
+  }
+  void On(LinkId, const ClaimReply& reply) { m_claims.Handle(reply); }
+  void On(LinkId link, const ClaimSync& sync) { m_claims.Handle(link, sync); }
+  void On(LinkId, const ClaimSyncReply& reply) { m_claims.Handle(reply); }
+  void On(LinkId link, const SuspectReport& report) {
+    // A node reports to the leader, which passes reports on to the nodes.
+    if (m_control && m_control->group().is_leader()) {
+      m_control->Handle(link, report);
+    }
+    m_policy.Handle(report);
+  }
+  void On(LinkId link, const Heartbeat& heartbeat) {
+    ToControl(link, heartbeat);
+  }
+  void On(LinkId link, const GroupInit& init) { ToControl(link, init); }
+  void On(LinkId link, const InstanceQuery& query) { ToControl(link, query); }
+  void On(LinkId link, const VoteRequest& m) { ToGroup(link, m); }
+  void On(LinkId link, const VoteReply& m) { ToGroup(link, m); }
+  void On(LinkId link, const AppendRequest& m) { ToGroup(link, m); }
+  void On(LinkId link, const AppendReply& m) { ToGroup(link, m); }
+  void On(LinkId link, const SnapshotRequest& m) { ToGroup(link, m); }
+
+  template <typename Type>
+  void ToControl(LinkId link, const Type& message) {
+    if (m_control) {
+      m_control->Handle(link, message);
+    }
+  }
+
+  void ToGroup(LinkId link, const RaftMessage& message) {
+    if (m_control) {
+      m_control->Handle(link, message);
+    }
+  }
+
+  void ReportSuspects(const std::vector<Fingerprint>& changed) {
+    const Millis now = SteadyNow();
+    SuspectReport report;
+    for (const Fingerprint request : changed) {
+      const auto entry = m_core.m_entry.m_quarantine.m_entries.find(request);
+      if (entry != m_core.m_entry.m_quarantine.m_entries.end()) {
+        const bool quarantined =
+            entry->second.m_state == SuspectState::kQuarantined;
+        report.m_rows.push_back({request, quarantined ? std::uint64_t{1} : 0,
+                                 entry->second.m_expires - now});
       }
     }
+    m_links.SendTo(m_membership.control_endpoint(), report);
   }
 
   void LinkClosed(LinkId link) {
@@ -114,9 +175,6 @@
     m_admin.Add("GET /hemlock/v1/status", [this](const AdminRequest&) {
       return JsonResponse(NodeStatus(m_core, m_gate, m_membership));
     });
-    m_admin.Add("GET /hemlock/v1/members", [this](const AdminRequest&) {
-      return JsonResponse(MembersJson());
-    });
     m_admin.Add("GET /hemlock/v1/explain",
                 [this](const AdminRequest& r) { return Explain(r); });
     m_admin.Add("GET /metrics", [this](const AdminRequest&) {
@@ -125,6 +183,9 @@
       response.m_body = MetricsText(m_core, m_gate);
       return response;
     });
+    if (m_control) {
+      AddControlOperations(m_admin, *m_control);
+    }
   }
 
   AdminResponse Announce(const AdminRequest& request) {
@@ -162,20 +223,14 @@
     return JsonResponse(json);
   }
 
-  nlohmann::ordered_json MembersJson() const {
-    nlohmann::ordered_json members = nlohmann::ordered_json::array();
+  std::optional<std::string> Start() {
+    std::optional<std::string> error;
     if (m_control) {
-      for (const auto& [node, member] : m_control->directory().m_members) {
-        if (!member.m_gone) {
-          members.push_back(ToJson(member.m_entry));
-        }
-      }
+      error = m_control->Start();
+    }
+    if (!error) {
+      error = m_links.Listen(m_settings.m_peer);
     }
-    return {{"members", members}};
-  }
-
-  std::optional<std::string> Start() {
-    auto error = m_links.Listen(m_settings.m_peer);
     if (!error) {
       error = m_admin_http.Listen(m_settings.m_admin);
     }
@@ -185,11 +240,9 @@
     if (error) {
       return error;
     }
-    if (m_control) {
-      m_control->Start();
-    }
     m_loop.Spawn([this] { m_membership.Run(); });
     m_loop.SpawnPeriodic(TargetGate::kTickPeriod, [this] { m_gate.Tick(); });
+    m_loop.SpawnPeriodic(ClaimService::kClaimTick, [this] { m_claims.Tick(); });
     m_loop.SpawnPeriodic(kHousekeepingPeriod, [this] { Housekeep(); });
     return std::nullopt;
   }
@@ -235,6 +288,9 @@
   FiberLoop& m_loop;
   NodeCore m_core;
   LinkLayer m_links;
+  ClaimService m_claims;
+  KeyedCalls m_keyed;
+  PolicyClient m_policy;
   TargetGate m_gate;
   MembershipClient m_membership;
   EntryService m_entry;
--- /dev/null
+++ b/src/hemlockpoint/node/policy_client.cc
@@ -0,0 +1,76 @@
+#include "hemlockpoint/node/policy_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "hemlockpoint/log/log.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr Millis kProofLimit(2000);
+
+}  // namespace
+
+std::optional<PolicyDocument> ApplyPush(const PolicyDocument& current,
+                                        const PolicyPush& push) {
+  const bool builds_on =
+      push.m_since == Revision() || !(current.m_revision < push.m_since);
+  const bool newer = current.m_revision < push.m_revision;
+  if (!builds_on || !newer || push.m_proof_age > kProofLimit) {
+    return std::nullopt;
+  }
+  PolicyDocument document;
+  if (push.m_since != Revision()) {
+    document = current;
+  }
+  document.m_revision = push.m_revision;
+  for (const std::string& name : push.m_removed) {
+    document.m_sections.erase(name);
+  }
+  for (const SectionUpdate& section : push.m_changed) {
+    document.m_sections[section.m_name] = {section.m_revision, section.m_text};
+  }
+  return document;
+}
+
+bool PolicyClient::Handle(const PolicyPush& push) {
+  auto document = ApplyPush(m_core.m_document, push);
+  if (!document) {
+    return false;
+  }
+  Findings findings;
+  auto policy = std::make_shared<Policy>(CompilePolicy(*document, findings));
+  if (!findings.empty()) {
+    // The control group checks every document, so this one is incomplete; a
+    // resend brings the whole.
+    LogLine(LogLevel::kError, "policy_rejected")
+        .With("revision", document->m_revision.value())
+        .With("findings", findings.ToText());
+    return false;
+  }
+  m_core.m_document = std::move(*document);
+  m_core.m_entry.m_policy = std::move(policy);
+  m_core.m_policy_known = true;
+  LogLine(LogLevel::kInfo, "policy_in_force")
+      .With("revision", m_core.m_document.m_revision.value());
+  return true;
+}
+
+void PolicyClient::Handle(const SuspectReport& report) {
+  const Millis now = SteadyNow();
+  QuarantineTable& table = m_core.m_entry.m_quarantine;
+  for (const SuspectRow& row : report.m_rows) {
+    if (row.m_state > 1) {
+      Lift(table, row.m_fingerprint);
+      continue;
+    }
+    const SuspectState state =
+        row.m_state == 1 ? SuspectState::kQuarantined : SuspectState::kSuspect;
+    Merge(table, row.m_fingerprint,
+          {state, now + Min(row.m_time_left, kQuarantineFor)});
+  }
+}
+
+}  // namespace hemlockpoint
--- a/src/hemlockpoint/node/target_gate.cc
+++ b/src/hemlockpoint/node/target_gate.cc
@@ -16,6 +16,9 @@
 constexpr Millis kProbeInterval(50);
 constexpr int kProbeCount = 20;
 constexpr Millis kLeavingRetryAfter(100);
+// Work that must run once may end this long after its caller's deadline, so
+// that a resend gets its answer.
+constexpr Millis kKeyedGrace(30'000);
 constexpr std::size_t kMaxChildKinds = 32;
 
 Refusal NotReady(Reason reason) {
@@ -43,9 +46,15 @@
   bool m_overdue = false;
   bool m_answer_started = false;
   bool m_suspect = false;
+  /// The call runs at most once under its idempotency key.
+  bool m_keyed = false;
+  /// How its claim ends, and the answer to keep for resends.
+  ClaimStep m_claim_end = ClaimStep::kRelease;
+  std::optional<AnswerStart> m_kept;
 };
 
-TargetGate::TargetGate(NodeCore& core) : m_core(core) {
+TargetGate::TargetGate(NodeCore& core, KeyedCalls& keyed)
+    : m_core(core), m_keyed(keyed) {
   m_admission.m_queue_bound = core.m_settings.m_queue_entries;
   m_admission.m_pass_through = core.m_settings.m_pass_through;
 }
@@ -166,6 +175,27 @@
                         std::to_string(m_core.m_incarnation) + "-" +
                         std::to_string(session.m_id.value());
   m_sessions[session.m_id] = &session;
+  const CallTerms& terms = start.m_terms;
+  session.m_keyed = !terms.m_idempotent && !terms.m_key.empty() &&
+                    !m_admission.m_pass_through;
+  std::optional<AnswerStart> other;
+  if (session.m_keyed) {
+    other = m_keyed.Begin(start, session.m_deadline);
+  }
+  if (other) {
+    other->m_load = Load(session.m_kind);
+    session.m_call.m_sender->SendAnswer(std::move(*other));
+  } else {
+    RunOnce(session);
+    if (session.m_keyed) {
+      m_keyed.End(start, session.m_claim_end, session.m_kept);
+    }
+  }
+  session.m_call.m_state->m_on_cancel = nullptr;
+  m_sessions.erase(session.m_id);
+}
+
+void TargetGate::RunOnce(Session& session) {
   const auto refusal = CheckBeforeQueue(session.m_call);
   if (refusal) {
     Refuse(session, *refusal, "refused");
@@ -176,8 +206,6 @@
   } else if (!session.m_call.m_state->m_cancelled) {
     Refuse(session, session.m_drop, "refused");
   }
-  session.m_call.m_state->m_on_cancel = nullptr;
-  m_sessions.erase(session.m_id);
 }
 
 bool TargetGate::AwaitDispatch(Session& session) {
@@ -195,8 +223,11 @@
   offered.m_long = terms.m_long;
   offered.m_suspect = session.m_suspect;
   state.m_on_cancel = [this, &session] {
-    if (session.m_http) {
+    // Work that must run once is finished, so that a resend gets its answer.
+    if (session.m_http && !session.m_keyed) {
       session.m_http->Cancel();
+    } else if (session.m_http) {
+      return;
     } else if (CancelQueued(m_admission, session.m_id)) {
       session.m_verdict = Session::Verdict::kDropped;
     }
@@ -287,6 +318,7 @@
   head.m_headers.push_back({field::kRequestId, start.m_terms.m_root.value()});
   head.m_headers.push_back({field::kCaller, start.m_terms.m_caller.value()});
   session.m_handed_over = true;
+  session.m_claim_end = ClaimStep::kUnknown;
   if (start.m_complete) {
     std::string body;
     if (session.m_call.m_state->m_request_body.buffered() > 0) {
@@ -334,22 +366,42 @@
         {"Content-Length", std::to_string(*head.m_content_length)});
   }
   answer.m_body.m_data = bytes.value_or("");
+  if (session.m_keyed) {
+    session.m_kept = answer;
+  }
   bool complete = answer.m_complete;
   bool wanted = session.m_call.m_sender->SendAnswer(std::move(answer));
-  while (wanted && bytes && !complete) {
+  while ((wanted || session.m_keyed) && bytes && !complete) {
     bytes = session.m_http->ReadBody();
     if (bytes) {
       relayed += bytes->size();
       complete = bytes->empty() || relayed == head.m_content_length;
-      wanted = session.m_call.m_sender->SendBody(std::move(*bytes), complete);
+      KeepMore(session, *bytes);
+      wanted = wanted &&
+               session.m_call.m_sender->SendBody(std::move(*bytes), complete);
     }
   }
-  if (!complete) {
+  if (complete) {
+    session.m_claim_end = ClaimStep::kComplete;
+  } else {
+    session.m_kept.reset();
     session.m_http->Cancel();
     session.m_call.m_sender->Cut("the target's answer was cut off");
   }
 }
 
+// An answer that is too long to keep is not kept in part.
+void TargetGate::KeepMore(Session& session, const std::string& bytes) {
+  if (!session.m_kept) {
+    return;
+  }
+  session.m_kept->m_body.m_data += bytes;
+  session.m_kept->m_complete = true;
+  if (session.m_kept->m_body.m_data.size() > kMaxLocalAnswerBytes) {
+    session.m_kept.reset();
+  }
+}
+
 void TargetGate::EndWithoutAnswer(Session& session) {
   session.m_http->Cancel();
   if (session.m_call.m_state->m_cancelled) {
@@ -406,8 +458,9 @@
 // The answer's head is awaited by a fiber that only its connection can wake.
 void TargetGate::EndOverdue(Millis now) {
   for (const auto& [id, session] : m_sessions) {
+    const Millis grace = session->m_keyed ? kKeyedGrace : Millis(0);
     const bool overdue = session->m_http && !session->m_answer_started &&
-                         now > session->m_deadline;
+                         now > session->m_deadline + grace;
     if (overdue && !session->m_overdue) {
       session->m_overdue = true;
       session->m_http->Cancel();
@@ -469,6 +522,9 @@
   LogLine(LogLevel::kWarning, "target_crashed")
       .With("in_flight", static_cast<std::uint64_t>(m_loss.size()))
       .With("suspects", static_cast<std::uint64_t>(changed.size()));
+  if (m_on_suspects) {
+    m_on_suspects(changed);
+  }
   m_loss.clear();
 }
 
--- a/src/hemlockpoint/node/target_gate.h
+++ b/src/hemlockpoint/node/target_gate.h
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKPOINT_NODE_TARGET_GATE_H_
 #define HEMLOCKPOINT_NODE_TARGET_GATE_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -12,6 +13,7 @@
 #include "hemlockpoint/http/client.h"
 #include "hemlockpoint/node/announcement.h"
 #include "hemlockpoint/node/core.h"
+#include "hemlockpoint/node/keyed_calls.h"
 
 namespace hemlockpoint {
 
@@ -19,7 +21,7 @@
 /// brings back the answers.
 class TargetGate {
  public:
-  explicit TargetGate(NodeCore& core);
+  TargetGate(NodeCore& core, KeyedCalls& keyed);
   ~TargetGate();
   TargetGate(const TargetGate&) = delete;
   TargetGate& operator=(const TargetGate&) = delete;
@@ -44,6 +46,11 @@
   /// that the child's shedding threshold is told upwards.
   void RecordChildKind(const KindName& parent, const KindName& child);
 
+  /// @brief Sets a function that is told which suspects changed at a crash.
+  void OnSuspects(std::function<void(const std::vector<Fingerprint>&)> told) {
+    m_on_suspects = std::move(told);
+  }
+
   /// @return Calls that have not ended.
   [[nodiscard]] std::size_t calls() const { return m_sessions.size(); }
 
@@ -56,11 +63,13 @@
   struct Session;
 
   std::optional<Refusal> CheckBeforeQueue(const InboundCall& call) const;
+  void RunOnce(Session& session);
   bool AwaitDispatch(Session& session);
   void Run(Session& session);
   bool HandOver(Session& session);
   bool SendRequestBody(Session& session);
   void RelayAnswer(Session& session, const HttpResponseHead& head);
+  static void KeepMore(Session& session, const std::string& bytes);
   void EndWithoutAnswer(Session& session);
   void Refuse(Session& session, Refusal refusal, const char* action);
   void ApplyDrops(const std::vector<DroppedCall>& dropped);
@@ -72,6 +81,7 @@
   void EndOverdue(Millis now);
 
   NodeCore& m_core;
+  KeyedCalls& m_keyed;
   AdmissionState m_admission;
   std::optional<TargetAnnouncement> m_target;
   Millis m_last_announcement;
@@ -85,6 +95,7 @@
   std::vector<CrashedCall> m_loss;
   bool m_probing = false;
   std::unordered_map<KindName, std::set<KindName>> m_child_kinds;
+  std::function<void(const std::vector<Fingerprint>&)> m_on_suspects;
 };
 
 }  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/policy/store.cc
@@ -0,0 +1,248 @@
+#include "hemlockpoint/policy/store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "hemlockpoint/wire/fields_codec.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+// The parts of the store as they stand in a snapshot.
+struct StoredFinding {
+  std::string m_source;
+  std::uint64_t m_line = 0;
+  std::uint64_t m_column = 0;
+  std::string m_text;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("source", self.m_source);
+    visit("line", self.m_line);
+    visit("column", self.m_column);
+    visit("text", self.m_text);
+  }
+};
+
+struct StoredResult {
+  std::string m_id;
+  std::uint64_t m_status = 0;
+  Revision m_revision;
+  HistoryEntry m_winner;
+  std::vector<StoredFinding> m_findings;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("id", self.m_id);
+    visit("status", self.m_status);
+    visit("rev", self.m_revision);
+    visit("winner", self.m_winner);
+    visit("findings", self.m_findings);
+  }
+};
+
+struct StoredSection {
+  std::string m_name;
+  Revision m_revision;
+  std::string m_text;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("name", self.m_name);
+    visit("rev", self.m_revision);
+    visit("text", self.m_text);
+  }
+};
+
+struct StoredPolicy {
+  Revision m_revision;
+  std::string m_admin;
+  std::vector<StoredSection> m_sections;
+  std::vector<HistoryEntry> m_history;
+  std::vector<StoredResult> m_results;
+
+  template <typename Self, typename Visitor>
+  static void Visit(Self& self, Visitor& visit) {
+    visit("rev", self.m_revision);
+    visit("admin", self.m_admin);
+    visit("sections", self.m_sections);
+    visit("history", self.m_history);
+    visit("results", self.m_results);
+  }
+};
+
+// Findings of one answer that are kept, so that a snapshot stays small.
+constexpr std::size_t kMaxKeptFindings = 5;
+
+Revision SectionRevision(const PolicyStore& store, const std::string& section) {
+  const auto found = store.m_document.m_sections.find(section);
+  return found == store.m_document.m_sections.end() ? Revision()
+                                                    : found->second.m_revision;
+}
+
+// The token that may change a section, by the document in force.
+std::string TokenFor(const PolicyStore& store, const std::string& section) {
+  Findings ignored;
+  const Policy policy = CompilePolicy(store.m_document, ignored);
+  const auto grant = policy.m_sections.find(section);
+  if (grant != policy.m_sections.end()) {
+    return grant->second.m_token_sha256;
+  }
+  return section == kPlatformSection ? store.m_admin_token_sha256 : "";
+}
+
+HistoryEntry LastChangeOf(const PolicyStore& store,
+                          const std::string& section) {
+  for (auto entry = store.m_history.rbegin(); entry != store.m_history.rend();
+       ++entry) {
+    if (entry->m_section == section) {
+      return *entry;
+    }
+  }
+  return {};
+}
+
+PolicyDocument WithChange(const PolicyStore& store,
+                          const PolicyChange& change) {
+  PolicyDocument document = store.m_document;
+  document.m_revision = Revision(document.m_revision.value() + 1);
+  if (change.m_text.empty()) {
+    document.m_sections.erase(change.m_section);
+  } else {
+    document.m_sections[change.m_section] = {document.m_revision,
+                                             change.m_text};
+  }
+  return document;
+}
+
+void Remember(PolicyStore& store,
+              const std::string& id,
+              const ChangeResult& result) {
+  store.m_results[id] = result;
+  store.m_order.push_back(id);
+  while (store.m_order.size() > kMaxChangeIds) {
+    store.m_results.erase(store.m_order.front());
+    store.m_order.pop_front();
+  }
+}
+
+StoredResult Store(const std::string& id, const ChangeResult& result) {
+  StoredResult stored;
+  stored.m_id = id;
+  stored.m_status = static_cast<std::uint64_t>(result.m_status);
+  stored.m_revision = result.m_revision;
+  stored.m_winner = result.m_winner;
+  for (const Finding& finding : result.m_findings) {
+    stored.m_findings.push_back({finding.m_place.m_source,
+                                 finding.m_place.m_line,
+                                 finding.m_place.m_column, finding.m_text});
+  }
+  return stored;
+}
+
+ChangeResult Load(const StoredResult& stored) {
+  ChangeResult result;
+  result.m_status =
+      static_cast<ChangeStatus>(std::min<std::uint64_t>(stored.m_status, 3));
+  result.m_revision = stored.m_revision;
+  result.m_winner = stored.m_winner;
+  for (const StoredFinding& finding : stored.m_findings) {
+    result.m_findings.push_back(
+        {{finding.m_source, static_cast<std::uint32_t>(finding.m_line),
+          static_cast<std::uint32_t>(finding.m_column)},
+         finding.m_text});
+  }
+  return result;
+}
+
+}  // namespace
+
+ChangeResult CheckChange(const PolicyStore& store, const PolicyChange& change) {
+  const auto known = store.m_results.find(change.m_change_id);
+  if (known != store.m_results.end()) {
+    return known->second;
+  }
+  ChangeResult result;
+  const std::string token = TokenFor(store, change.m_section);
+  if (token.empty() || token != change.m_token_sha256) {
+    result.m_status = ChangeStatus::kForbidden;
+    return result;
+  }
+  const Revision current = SectionRevision(store, change.m_section);
+  if (current != change.m_base) {
+    result.m_status = ChangeStatus::kConflict;
+    result.m_revision = current;
+    result.m_winner = LastChangeOf(store, change.m_section);
+    return result;
+  }
+  const PolicyDocument document = WithChange(store, change);
+  Findings findings;
+  (void)CompilePolicy(document, findings);
+  result.m_findings = findings.items();
+  const bool valid = findings.empty();
+  result.m_status = valid ? ChangeStatus::kAccepted : ChangeStatus::kInvalid;
+  result.m_revision = valid ? document.m_revision : current;
+  return result;
+}
+
+ChangeResult ApplyChange(PolicyStore& store, const PolicyChange& change) {
+  if (store.m_results.count(change.m_change_id) != 0) {
+    return store.m_results[change.m_change_id];
+  }
+  ChangeResult result = CheckChange(store, change);
+  if (result.m_findings.size() > kMaxKeptFindings) {
+    result.m_findings.resize(kMaxKeptFindings);
+  }
+  // A refusal for the token says nothing about the change, and may not use up
+  // an id that its owner has chosen.
+  if (result.m_status == ChangeStatus::kForbidden) {
+    return result;
+  }
+  if (result.m_status == ChangeStatus::kAccepted) {
+    store.m_document = WithChange(store, change);
+    store.m_history.push_back({result.m_revision, change.m_section,
+                               change.m_change_id, change.m_actor,
+                               change.m_unix_ms});
+    if (store.m_history.size() > kMaxHistory) {
+      store.m_history.pop_front();
+    }
+  }
+  Remember(store, change.m_change_id, result);
+  return result;
+}
+
+std::string EncodeStore(const PolicyStore& store) {
+  StoredPolicy stored;
+  stored.m_revision = store.m_document.m_revision;
+  stored.m_admin = store.m_admin_token_sha256;
+  for (const auto& [name, section] : store.m_document.m_sections) {
+    stored.m_sections.push_back({name, section.m_revision, section.m_text});
+  }
+  stored.m_history.assign(store.m_history.begin(), store.m_history.end());
+  for (const std::string& id : store.m_order) {
+    stored.m_results.push_back(Store(id, store.m_results.at(id)));
+  }
+  return EncodeFields(stored);
+}
+
+Result<PolicyStore> DecodeStore(std::string_view bytes) {
+  const auto stored = DecodeFields<StoredPolicy>(bytes);
+  if (!stored) {
+    return Result<PolicyStore>::Failure(stored.reason());
+  }
+  PolicyStore store;
+  store.m_document.m_revision = stored->m_revision;
+  store.m_admin_token_sha256 = stored->m_admin;
+  for (const StoredSection& section : stored->m_sections) {
+    store.m_document.m_sections[section.m_name] = {section.m_revision,
+                                                   section.m_text};
+  }
+  store.m_history.assign(stored->m_history.begin(), stored->m_history.end());
+  for (const StoredResult& result : stored->m_results) {
+    Remember(store, result.m_id, Load(result));
+  }
+  return store;
+}
+
+}  // namespace hemlockpoint
--- a/src/hemlockpoint/retry/budget.cc
+++ b/src/hemlockpoint/retry/budget.cc
@@ -65,6 +65,10 @@
   return ChildGrant{0, true};
 }
 
+ChildGrant RegrantChild(CallBudget& budget, const ChildGrant& grant) {
+  return grant.m_repeat ? grant : Lend(budget);
+}
+
 void SettleChild(CallBudget& budget,
                  const ChildGrant& grant,
                  std::uint64_t spent) {
--- a/src/hemlockpoint/retry/budget.h
+++ b/src/hemlockpoint/retry/budget.h
@@ -59,6 +59,11 @@
                                                     Fingerprint child,
                                                     double ratio);
 
+/// @brief Grants the same attempt again, after it was settled without having
+/// reached any target.
+[[nodiscard]] ChildGrant RegrantChild(CallBudget& budget,
+                                      const ChildGrant& grant);
+
 /// @brief Takes back what a child call has left of its grant.
 /// @param spent Extra attempts that the child caused below.
 void SettleChild(CallBudget& budget,
--- /dev/null
+++ b/src/hemlockpoint/storage/fwd.h
@@ -0,0 +1,12 @@
+#ifndef HEMLOCKPOINT_STORAGE_FWD_H_
+#define HEMLOCKPOINT_STORAGE_FWD_H_
+
+namespace hemlockpoint {
+
+struct RecordScan;
+struct StoredState;
+class DataFolder;
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_STORAGE_FWD_H_
--- a/src/hemlockpoint/transport/link_layer.cc
+++ b/src/hemlockpoint/transport/link_layer.cc
@@ -1,5 +1,6 @@
 #include "hemlockpoint/transport/link_layer.h"
 
+#include <deque>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -18,6 +19,10 @@
 constexpr std::size_t kMaxBufferedBytes = 512 * 1024;
 constexpr Millis kBufferPoll(0.5);
 constexpr Millis kGreetingTimeout(2000);
+// A peer that is silent must not fill this process's memory.
+constexpr std::size_t kMaxOutboxMessages = 256;
+constexpr std::size_t kMaxControlBufferedBytes = 4 * 1024 * 1024;
+constexpr Millis kOutboxLinkTimeout(400);
 
 using CallTable = std::unordered_map<CallId, std::shared_ptr<CallState>>;
 
@@ -261,6 +266,7 @@
   LinkEvents m_events;
   std::unordered_map<LinkId, LinkInfo> m_links;
   std::map<Endpoint, LinkId> m_by_endpoint;
+  std::map<Endpoint, std::deque<Message>> m_outboxes;
   FiberEvent m_greeted;
   LinkCounters m_counters;
   std::size_t m_calls = 0;
@@ -460,6 +466,42 @@
   return m_state->Send(link, message);
 }
 
+void LinkLayer::SendTo(const Endpoint& endpoint, Message message) {
+  State& state = *m_state;
+  const auto open = state.m_by_endpoint.find(endpoint);
+  const bool greeted = open != state.m_by_endpoint.end() &&
+                       state.m_links[open->second].m_greeted;
+  if (greeted) {
+    if (state.m_hub.Buffered(open->second) > kMaxControlBufferedBytes) {
+      CloseTo(endpoint);
+    } else {
+      state.Send(open->second, message);
+    }
+    return;
+  }
+  const bool waiting = state.m_outboxes.count(endpoint) != 0;
+  std::deque<Message>& outbox = state.m_outboxes[endpoint];
+  if (outbox.size() >= kMaxOutboxMessages) {
+    outbox.pop_front();
+  }
+  outbox.push_back(std::move(message));
+  if (!waiting) {
+    state.m_loop.Spawn([this, endpoint] { EmptyOutbox(endpoint); });
+  }
+}
+
+void LinkLayer::EmptyOutbox(const Endpoint& endpoint) {
+  const Result<LinkId> link =
+      LinkTo(endpoint, SteadyNow() + kOutboxLinkTimeout);
+  const auto outbox = m_state->m_outboxes.find(endpoint);
+  if (link) {
+    for (const Message& message : outbox->second) {
+      m_state->Send(*link, message);
+    }
+  }
+  m_state->m_outboxes.erase(outbox);
+}
+
 void LinkLayer::Close(LinkId link) {
   m_state->m_hub.Close(link);
 }
--- a/src/hemlockpoint/transport/link_layer.h
+++ b/src/hemlockpoint/transport/link_layer.h
@@ -62,6 +62,11 @@
   /// @return Whether the link was open.
   bool Send(LinkId link, const Message& message);
 
+  /// @brief Sends a message to an endpoint when a link to it is open, without
+  /// waiting. Messages to a peer that can't be reached, or doesn't take them,
+  /// are dropped.
+  void SendTo(const Endpoint& endpoint, Message message);
+
   void Close(LinkId link);
 
   /// @brief Closes the link to an endpoint, and loses its calls.
@@ -76,6 +81,8 @@
   [[nodiscard]] std::size_t links() const;
 
  private:
+  void EmptyOutbox(const Endpoint& endpoint);
+
   struct State;
   std::unique_ptr<State> m_state;
 };
--- a/src/hemlockpoint/wire/call_messages.h
+++ b/src/hemlockpoint/wire/call_messages.h
@@ -199,12 +199,18 @@
   /// Extra attempts spent below, out of CallTerms::m_extra_attempts.
   std::uint64_t m_spent = 0;
   LoadReport m_load;
+  /// Node that runs, or has run, the call with the same idempotency key.
+  NodeId m_redirect;
+  /// The answer is that of an earlier call with the same idempotency key.
+  bool m_replayed = false;
   Bytes m_body;
   bool m_complete = true;
 
   template <typename Self, typename Visitor>
   static void Visit(Self& self, Visitor& visit) {
     visit("call", self.m_call);
+    visit("redirect", self.m_redirect);
+    visit("replay", self.m_replayed);
     visit("status", self.m_status);
     visit("headers", self.m_headers);
     visit("refusal", self.m_refusal);
--- a/src/hemlockpoint/wire/fields.h
+++ b/src/hemlockpoint/wire/fields.h
@@ -15,6 +15,8 @@
 #include "hemlockpoint/base/millis.h"
 #include "hemlockpoint/outcome/refusal.h"
 #include "hemlockpoint/wire/call_messages.h"
+#include "hemlockpoint/wire/claim_messages.h"
+#include "hemlockpoint/wire/consensus_messages.h"
 
 /// Conversion of message structs to and from CBOR maps. Each struct lists its
 /// fields once, in a static Visit(), for both directions.
@@ -54,7 +56,7 @@
 template <typename Item>
 struct IsVector<std::vector<Item>> : std::true_type {};
 
-/// @brief Largest enumerator of each enum that messages carry.
+/// @brief Number of enumerators of each enum that messages carry.
 template <typename Enum>
 inline constexpr std::uint64_t kEnumCount = 0;
 template <>
@@ -63,6 +65,14 @@
 inline constexpr std::uint64_t kEnumCount<Decider> = 2;
 template <>
 inline constexpr std::uint64_t kEnumCount<Reason> = kReasonCount;
+template <>
+inline constexpr std::uint64_t kEnumCount<EntryKind> = 4;
+template <>
+inline constexpr std::uint64_t kEnumCount<ClaimStep> = 4;
+template <>
+inline constexpr std::uint64_t kEnumCount<ClaimVerdict> = 5;
+template <>
+inline constexpr std::uint64_t kEnumCount<ClaimPhase> = 3;
 
 template <typename Visitor, typename Self>
 void VisitRefusal(Self& self, Visitor& visit) {
--- a/src/hemlockpoint/wire/message.h
+++ b/src/hemlockpoint/wire/message.h
@@ -4,7 +4,10 @@
 #include <variant>
 
 #include "hemlockpoint/wire/call_messages.h"
+#include "hemlockpoint/wire/claim_messages.h"
+#include "hemlockpoint/wire/consensus_messages.h"
 #include "hemlockpoint/wire/membership_messages.h"
+#include "hemlockpoint/wire/policy_messages.h"
 
 namespace hemlockpoint {
 
@@ -17,7 +20,21 @@
                              CallAbort,
                              Heartbeat,
                              HeartbeatAck,
-                             DirectoryDelta>;
+                             DirectoryDelta,
+                             PolicyPush,
+                             SuspectReport,
+                             VoteRequest,
+                             VoteReply,
+                             AppendRequest,
+                             AppendReply,
+                             SnapshotRequest,
+                             GroupInit,
+                             InstanceQuery,
+                             ClaimRequest,
+                             ClaimReply,
+                             ClaimSync,
+                             ClaimSyncReply,
+                             ClaimSets>;
 
 }  // namespace hemlockpoint
 
