--- a/src/hemlockpoint/admission/limit.cc
+++ b/src/hemlockpoint/admission/limit.cc
@@ -18,7 +18,6 @@
 constexpr Millis kPauseAfterFailedTrial(5000);
 constexpr double kFloorShare = 0.1;
 constexpr double kRaiseShare = 0.05;
-constexpr double kRateWeight = 0.4;
 constexpr double kRampStartShare = 0.2;
 constexpr Millis kRampTime(5000);
 
@@ -34,6 +33,7 @@
   state.m_limit = std::max(floor, state.m_limit * kTrialFactor);
   state.m_in_trial = true;
   state.m_trial_windows = 0;
+  state.m_rate_windows = 0;
 }
 
 void JudgeTrial(LimitState& state, Millis now) {
@@ -47,9 +47,23 @@
   }
 }
 
-void JudgeWindow(LimitState& state, double slowness, Millis now) {
+// The mean over the windows since it was last reset.
+void MeasureRate(LimitState& state, double completions) {
+  ++state.m_rate_windows;
+  state.m_rate += (completions - state.m_rate) / state.m_rate_windows;
+}
+
+void JudgeWindow(LimitState& state,
+                 double slowness,
+                 double completions,
+                 Millis now) {
   const bool slow = slowness > kSlow;
   state.m_slow_windows = slow ? state.m_slow_windows + 1 : 0;
+  if (state.m_slow_windows == 1 && !state.m_in_trial) {
+    // The throughput before the slowdown says nothing about a trial in it.
+    state.m_rate_windows = 0;
+  }
+  MeasureRate(state, completions);
   if (state.m_in_trial) {
     JudgeTrial(state, now);
   }
@@ -91,11 +105,10 @@
   const auto completions = static_cast<double>(state.m_window_completions);
   const double slowness =
       completions > 0 ? state.m_window_slowness / completions : stall;
-  state.m_rate += (completions - state.m_rate) * kRateWeight;
   state.m_window_completions = 0;
   state.m_window_slowness = 0;
   state.m_window_start = now;
-  JudgeWindow(state, slowness, now);
+  JudgeWindow(state, slowness, completions, now);
 }
 
 std::uint64_t LimitNow(const LimitState& state, Millis now) {
--- a/src/hemlockpoint/admission/limit.h
+++ b/src/hemlockpoint/admission/limit.h
@@ -27,8 +27,9 @@
   double m_window_slowness = 0;
 
   int m_slow_windows = 0;
-  /// Completions per window, averaged over some windows.
+  /// Completions per window, averaged since the slowdown or trial began.
   double m_rate = 0;
+  double m_rate_windows = 0;
 
   bool m_in_trial = false;
   int m_trial_windows = 0;
--- a/src/hemlockpoint/routing/balancer.cc
+++ b/src/hemlockpoint/routing/balancer.cc
@@ -12,6 +12,9 @@
 // An estimate that no answer renews is forgotten, so that a target that has
 // recovered gets calls again.
 constexpr Millis kSlownessMemory(10'000);
+// Slowness below this counts as none, so that small differences don't send
+// every call of a quiet time to one target.
+constexpr double kSlownessNoise = 1.3;
 constexpr Millis kSlowStart(5000);
 constexpr double kSlowStartShare = 0.1;
 constexpr std::uint64_t kFailuresToEject = 3;
@@ -132,7 +135,9 @@
   const double age =
       std::clamp((now - target.m_known_since) / kSlowStart, 0.0, 1.0);
   const double ramp = kSlowStartShare + (1 - kSlowStartShare) * age;
-  return (busy + 1) / (capacity * ramp) * CurrentSlowness(target, now);
+  double slowness = CurrentSlowness(target, now);
+  slowness = slowness < kSlownessNoise ? 1 : slowness;
+  return (busy + 1) / (capacity * ramp) * slowness;
 }
 
 std::optional<NodeId> ChooseTarget(const Balancer& balancer,
--- /dev/null
+++ b/test/hemlockpoint/admission/limit_test.cc
@@ -0,0 +1,119 @@
+#include "hemlockpoint/admission/limit.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace hemlockpoint {
+namespace {
+
+constexpr double kSlots = 40;
+
+// A target that the limit is tried on, one window at a time. Service times
+// grow with concurrency above what the target can really run at once.
+struct ModelTarget {
+  double m_really_parallel = kSlots;
+  double m_slowdown = 1;
+
+  [[nodiscard]] double Slowness(double concurrency) const {
+    return m_slowdown * std::max(1.0, concurrency / m_really_parallel);
+  }
+  [[nodiscard]] double Completions(double concurrency) const {
+    constexpr double kPerWindow = 10;
+    return kPerWindow * concurrency / Slowness(concurrency);
+  }
+};
+
+struct Simulation {
+  Simulation() {
+    AnnounceSlots(m_limit, kSlots, true, m_now);
+    m_now += Millis(10'000);
+  }
+
+  void RunWindows(int count, const ModelTarget& target) {
+    for (int i = 0; i < count; ++i) {
+      const auto limit = static_cast<double>(LimitNow(m_limit, m_now));
+      const auto done = static_cast<int>(target.Completions(limit));
+      for (int k = 0; k < done; ++k) {
+        RecordCompletion(m_limit, target.Slowness(limit));
+      }
+      m_now += kLimitWindow;
+      AdvanceLimit(m_limit, target.Slowness(limit), m_now);
+    }
+  }
+
+  [[nodiscard]] double Limit() const {
+    return static_cast<double>(LimitNow(m_limit, m_now));
+  }
+
+  LimitState m_limit;
+  Millis m_now{1000};
+};
+
+TEST(Limit, NeverExceedsTheAnnouncedSlots) {
+  Simulation simulation;
+  simulation.RunWindows(100, ModelTarget());
+  EXPECT_EQ(simulation.Limit(), kSlots);
+}
+
+TEST(Limit, ColdTargetRampsUp) {
+  LimitState limit;
+  AnnounceSlots(limit, kSlots, true, Millis(0));
+  const std::uint64_t cold = LimitNow(limit, Millis(0));
+  const std::uint64_t warm = LimitNow(limit, Millis(10'000));
+  EXPECT_LE(static_cast<double>(cold), kSlots * 0.25);
+  EXPECT_EQ(static_cast<double>(warm), kSlots);
+}
+
+TEST(Limit, BriefSlowdownChangesNothing) {
+  Simulation simulation;
+  simulation.RunWindows(20, ModelTarget());
+  simulation.RunWindows(2, ModelTarget{kSlots, 5});
+  EXPECT_EQ(simulation.Limit(), kSlots);
+  simulation.RunWindows(5, ModelTarget());
+  EXPECT_EQ(simulation.Limit(), kSlots);
+}
+
+TEST(Limit, DeepSlowdownByContentionLowersItWithinASecond) {
+  Simulation simulation;
+  simulation.RunWindows(20, ModelTarget());
+  simulation.RunWindows(10, ModelTarget{4, 1});
+  EXPECT_LE(simulation.Limit(), kSlots * 0.75);
+}
+
+TEST(Limit, RisesAgainWithinSeconds) {
+  Simulation simulation;
+  simulation.RunWindows(20, ModelTarget());
+  simulation.RunWindows(30, ModelTarget{4, 1});
+  ASSERT_LT(simulation.Limit(), kSlots / 2);
+  simulation.RunWindows(30, ModelTarget());
+  EXPECT_EQ(simulation.Limit(), kSlots);
+}
+
+// Lowering the limit of a target that is slow for another reason than its
+// concurrency would only lose throughput.
+TEST(Limit, KeepsTheLimitWhereLoweringItCostsThroughput) {
+  Simulation simulation;
+  simulation.RunWindows(20, ModelTarget());
+  double served = 0;
+  const ModelTarget slow{kSlots, 4};
+  for (int i = 0; i < 100; ++i) {
+    served += slow.Completions(simulation.Limit());
+    simulation.RunWindows(1, slow);
+  }
+  EXPECT_GE(served, 0.9 * 100 * slow.Completions(kSlots));
+}
+
+TEST(Limit, StuckTargetIsNoticedWithoutCompletions) {
+  Simulation simulation;
+  simulation.RunWindows(20, ModelTarget());
+  for (int i = 0; i < 15; ++i) {
+    simulation.m_now += kLimitWindow;
+    AdvanceLimit(simulation.m_limit, 20, simulation.m_now);
+  }
+  EXPECT_LT(simulation.Limit(), kSlots);
+  EXPECT_GE(simulation.Limit(), 1);
+}
+
+}  // namespace
+}  // namespace hemlockpoint
--- /dev/null
+++ b/test/hemlockpoint/consensus/raft_history_test.cc
@@ -0,0 +1,208 @@
+// Random runs of the control group under loss, doubled messages, cuts, kills
+// and restarts, with operators that race and resend. The history of section
+// changes is checked for linearizability.
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+
+#include "hemlockpoint/policy/store.h"
+#include "hemlockpoint/wire/fields_codec.h"
+#include "support/raft_cluster.h"
+
+namespace hemlockpoint {
+namespace {
+
+constexpr int kRuns = 30;
+constexpr int kSteps = 120;
+
+// One operator that edits the platform section from the revision it last saw,
+// and sends a change again until it hears an answer.
+struct Operator {
+  int m_number = 0;
+  int m_changes = 0;
+  std::optional<PolicyChange> m_open;
+  std::uint64_t m_open_index = 0;
+  std::string m_open_at;
+  Revision m_seen;
+};
+
+struct Answer {
+  std::string m_id;
+  Revision m_base;
+  ChangeResult m_result;
+};
+
+std::string PlatformText(int number) {
+  return "[platform]\nclasses = [\"a\"]\ndefault_class = \"a\"\n# " +
+         std::to_string(number) + "\n";
+}
+
+// The store as a member has built it from what it applied.
+PolicyStore Replay(const SimMember& member) {
+  PolicyStore store;
+  store.m_admin_token_sha256 = TokenDigest("t");
+  for (const LogEntry& entry : member.m_applied) {
+    if (entry.m_kind == EntryKind::kChange) {
+      ApplyChange(store, *DecodeFields<PolicyChange>(entry.m_data.m_data));
+    }
+  }
+  return store;
+}
+
+class HistoryRun {
+ public:
+  explicit HistoryRun(std::uint64_t seed) : m_cluster(5, seed) {
+    m_cluster.m_loss = 0.05;
+    m_cluster.m_double = 0.05;
+    m_cluster.m_longest_delay = Millis(60);
+    for (int i = 0; i < 3; ++i) {
+      m_operators.push_back({i, 0, std::nullopt, 0, "", Revision()});
+    }
+    m_cluster.Run(Millis(4000));
+  }
+
+  void Run() {
+    for (int i = 0; i < kSteps; ++i) {
+      Disturb();
+      for (Operator& op : m_operators) {
+        Act(op);
+      }
+      m_cluster.Run(Millis(200));
+    }
+    m_cluster.Heal();
+    for (const auto& [instance, member] : m_cluster.members()) {
+      if (!member.m_up) {
+        m_cluster.Restart(instance);
+      }
+    }
+    m_cluster.m_loss = 0;
+    m_cluster.Run(Millis(8000));
+  }
+
+  void Check() const {
+    EXPECT_EQ(m_cluster.m_violation, "");
+    const PolicyStore store = Replay(m_cluster.members().begin()->second);
+    for (const auto& [instance, member] : m_cluster.members()) {
+      const PolicyStore other = Replay(member);
+      EXPECT_EQ(other.m_document.m_revision, store.m_document.m_revision)
+          << instance;
+    }
+    // Every answer that an operator got is the one that the final history
+    // gives, and each revision was made from the one before: the accepted
+    // changes form one line.
+    std::map<std::uint64_t, std::string> by_base;
+    for (const Answer& answer : m_answers) {
+      const auto final = store.m_results.find(answer.m_id);
+      ASSERT_NE(final, store.m_results.end()) << answer.m_id;
+      EXPECT_EQ(final->second.m_status, answer.m_result.m_status);
+      EXPECT_EQ(final->second.m_revision, answer.m_result.m_revision);
+      if (answer.m_result.m_status == ChangeStatus::kAccepted) {
+        const auto [winner, added] =
+            by_base.emplace(answer.m_base.value(), answer.m_id);
+        EXPECT_TRUE(added || winner->second == answer.m_id)
+            << "two winners from revision " << answer.m_base.value();
+      }
+    }
+    Revision before;
+    for (const HistoryEntry& entry : store.m_history) {
+      EXPECT_TRUE(before < entry.m_revision);
+      before = entry.m_revision;
+    }
+  }
+
+  [[nodiscard]] std::size_t answers() const { return m_answers.size(); }
+
+ private:
+  std::string AnyMember() {
+    auto member = m_cluster.members().begin();
+    std::advance(member, static_cast<long>(m_cluster.Random() * 5));
+    return member->first;
+  }
+
+  void Disturb() {
+    const double dice = m_cluster.Random();
+    const std::string instance = AnyMember();
+    if (dice < 0.08) {
+      m_cluster.Kill(instance);
+    } else if (dice < 0.25) {
+      for (const auto& [other, member] : m_cluster.members()) {
+        if (!member.m_up) {
+          m_cluster.Restart(other);
+        }
+      }
+    } else if (dice < 0.32) {
+      m_cluster.Isolate(instance);
+    } else if (dice < 0.38) {
+      m_cluster.Cut(instance, AnyMember());
+    } else if (dice < 0.55) {
+      m_cluster.Heal();
+    }
+  }
+
+  void Act(Operator& op) {
+    if (op.m_open && TakeAnswer(op)) {
+      return;
+    }
+    const std::string leader = m_cluster.Leader();
+    if (leader.empty()) {
+      return;
+    }
+    if (!op.m_open) {
+      PolicyChange change;
+      change.m_section = kPlatformSection;
+      change.m_base = Replay(m_cluster.at(leader)).m_document.m_revision;
+      change.m_change_id =
+          std::to_string(op.m_number) + "-" + std::to_string(op.m_changes++);
+      change.m_token_sha256 = TokenDigest("t");
+      change.m_text = PlatformText(op.m_changes);
+      op.m_open = change;
+      op.m_open_index = 0;
+    }
+    // An answer may be lost with its leader; the change is sent again.
+    const auto index = m_cluster.ProposeAt(leader, EntryKind::kChange,
+                                           EncodeFields(*op.m_open));
+    if (index) {
+      op.m_open_index = *index;
+      op.m_open_at = leader;
+    }
+  }
+
+  bool TakeAnswer(Operator& op) {
+    const SimMember& member = m_cluster.at(op.m_open_at);
+    if (op.m_open_index == 0 || !member.m_up ||
+        member.m_raft.m_applied < op.m_open_index) {
+      return false;
+    }
+    const PolicyStore store = Replay(member);
+    const auto result = store.m_results.find(op.m_open->m_change_id);
+    // Another leader's entry may have taken the place.
+    if (result == store.m_results.end()) {
+      return false;
+    }
+    m_answers.push_back(
+        {op.m_open->m_change_id, op.m_open->m_base, result->second});
+    op.m_open.reset();
+    return true;
+  }
+
+  RaftCluster m_cluster;
+  std::vector<Operator> m_operators;
+  std::vector<Answer> m_answers;
+};
+
+TEST(RaftHistory, SectionChangesAreLinearizable) {
+  std::size_t answers = 0;
+  for (std::uint64_t seed = 1; seed <= kRuns; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    HistoryRun run(seed);
+    run.Run();
+    run.Check();
+    answers += run.answers();
+  }
+  std::cout << "seeds 1 to " << kRuns << ", " << answers << " answers\n";
+  EXPECT_GT(answers, 1000U);
+}
+
+}  // namespace
+}  // namespace hemlockpoint
--- /dev/null
+++ b/test/hemlockpoint/consensus/raft_test.cc
@@ -0,0 +1,207 @@
+#include "hemlockpoint/consensus/raft.h"
+
+#include <gtest/gtest.h>
+
+#include "hemlockpoint/wire/fields_codec.h"
+#include "support/raft_cluster.h"
+
+namespace hemlockpoint {
+namespace {
+
+constexpr std::uint64_t kSeed = 11;
+constexpr Millis kSettle(4000);
+
+std::string Data(const LogEntry& entry) {
+  return entry.m_data.m_data;
+}
+
+bool HasApplied(const SimMember& member, const std::string& data) {
+  for (const LogEntry& entry : member.m_applied) {
+    if (Data(entry) == data) {
+      return true;
+    }
+  }
+  return false;
+}
+
+TEST(Raft, ElectsOneLeaderAndCommits) {
+  RaftCluster cluster(3, kSeed);
+  cluster.Run(kSettle);
+  const std::string leader = cluster.Leader();
+  ASSERT_FALSE(leader.empty());
+  ASSERT_TRUE(cluster.ProposeAt(leader, EntryKind::kChange, "x"));
+  cluster.Run(Millis(500));
+  for (const auto& [instance, member] : cluster.members()) {
+    EXPECT_TRUE(HasApplied(member, "x")) << instance;
+  }
+  EXPECT_EQ(cluster.m_violation, "");
+}
+
+TEST(Raft, SurvivesTheLossOfItsLeader) {
+  RaftCluster cluster(3, kSeed);
+  cluster.Run(kSettle);
+  const std::string first = cluster.Leader();
+  cluster.ProposeAt(first, EntryKind::kChange, "x");
+  cluster.Run(Millis(500));
+  cluster.Kill(first);
+  cluster.Run(kSettle);
+  const std::string second = cluster.Leader();
+  ASSERT_FALSE(second.empty());
+  EXPECT_NE(second, first);
+  cluster.ProposeAt(second, EntryKind::kChange, "y");
+  cluster.Restart(first);
+  cluster.Run(kSettle);
+  EXPECT_TRUE(HasApplied(cluster.at(first), "x"));
+  EXPECT_TRUE(HasApplied(cluster.at(first), "y"));
+  EXPECT_EQ(cluster.m_violation, "");
+}
+
+TEST(Raft, AnIsolatedLeaderStepsDownAndCommitsNothing) {
+  RaftCluster cluster(3, kSeed);
+  cluster.Run(kSettle);
+  const std::string cut_off = cluster.Leader();
+  cluster.Isolate(cut_off);
+  cluster.ProposeAt(cut_off, EntryKind::kChange, "lost");
+  cluster.Run(Millis(2000));
+  EXPECT_NE(cluster.at(cut_off).m_raft.m_role, RaftRole::kLeader);
+  EXPECT_GT(ProofAge(cluster.at(cut_off).m_raft, cluster.now()), Millis(2000));
+  cluster.Run(Millis(60'000));
+  const std::uint64_t term = cluster.at(cut_off).m_raft.m_hard.m_term;
+  cluster.Heal();
+  cluster.Run(kSettle);
+  for (const auto& [instance, member] : cluster.members()) {
+    EXPECT_FALSE(HasApplied(member, "lost")) << instance;
+  }
+  // Pre-vote kept the isolated member from raising its term.
+  EXPECT_LE(term, 3U);
+  EXPECT_EQ(cluster.m_violation, "");
+}
+
+TEST(Raft, AOneWayCutLeaderIsReplaced) {
+  RaftCluster cluster(3, kSeed);
+  cluster.Run(kSettle);
+  const std::string deaf = cluster.Leader();
+  for (const auto& [other, member] : cluster.members()) {
+    cluster.Cut(other, deaf);
+  }
+  cluster.Run(Millis(6000));
+  const std::string leader = cluster.Leader();
+  EXPECT_FALSE(leader.empty());
+  EXPECT_NE(leader, deaf);
+  EXPECT_EQ(cluster.m_violation, "");
+}
+
+TEST(Raft, AWipedMemberDoesNotVoteAsIfItRemembered) {
+  RaftCluster cluster(3, kSeed);
+  cluster.Run(kSettle);
+  const std::string leader = cluster.Leader();
+  cluster.ProposeAt(leader, EntryKind::kChange, "x");
+  cluster.Run(Millis(500));
+  std::string wiped;
+  for (const auto& [instance, member] : cluster.members()) {
+    if (instance != leader) {
+      wiped = instance;
+    }
+  }
+  // The host comes back with another instance on an empty disk, and the
+  // leader fails. Only one of the former members is left, so nobody may lead.
+  cluster.Kill(wiped);
+  cluster.AddBlank(wiped.substr(0, 2) + ".1");
+  cluster.Kill(leader);
+  cluster.Run(Millis(20'000));
+  EXPECT_EQ(cluster.Leader(), "");
+  cluster.Restart(leader);
+  cluster.Run(kSettle);
+  EXPECT_FALSE(cluster.Leader().empty());
+  EXPECT_EQ(cluster.m_violation, "");
+}
+
+TEST(Raft, ReplacesAWipedHostStepByStep) {
+  RaftCluster cluster(3, kSeed);
+  cluster.Run(kSettle);
+  const std::string leader = cluster.Leader();
+  const int host = leader == "h0.0" ? 1 : 0;
+  const std::string old_instance = RaftCluster::InstanceOf(host, 0);
+  const std::string new_instance = RaftCluster::InstanceOf(host, 1);
+  cluster.Kill(old_instance);
+  cluster.AddBlank(new_instance);
+  GroupConfig config = cluster.at(leader).m_raft.m_config.m_config;
+  for (auto member = config.m_members.begin(); member != config.m_members.end();
+       ++member) {
+    if (member->m_instance == old_instance) {
+      config.m_members.erase(member);
+      break;
+    }
+  }
+  ASSERT_TRUE(
+      cluster.ProposeAt(leader, EntryKind::kConfig, EncodeFields(config)));
+  // A second change may not overtake the first.
+  EXPECT_FALSE(
+      cluster.ProposeAt(leader, EntryKind::kConfig, EncodeFields(config)));
+  cluster.Run(Millis(1000));
+  config.m_members.push_back(RaftCluster::MakeMember(host, 1, false));
+  ASSERT_TRUE(
+      cluster.ProposeAt(leader, EntryKind::kConfig, EncodeFields(config)));
+  cluster.Run(kSettle);
+  const GroupMember* joined =
+      FindInstance(cluster.at(leader).m_raft.m_config.m_config, new_instance);
+  ASSERT_NE(joined, nullptr);
+  EXPECT_TRUE(joined->m_voter);
+  // The second host fails just after the repair.
+  cluster.ProposeAt(leader, EntryKind::kChange, "x");
+  cluster.Run(Millis(500));
+  cluster.Kill(leader);
+  cluster.Run(kSettle);
+  EXPECT_FALSE(cluster.Leader().empty());
+  EXPECT_TRUE(HasApplied(cluster.at(new_instance), "x"));
+  EXPECT_EQ(cluster.m_violation, "");
+}
+
+TEST(Raft, ALaggingMemberGetsASnapshot) {
+  RaftCluster cluster(3, kSeed);
+  cluster.Run(kSettle);
+  const std::string leader = cluster.Leader();
+  const std::string lagging = leader == "h0.0" ? "h1.0" : "h0.0";
+  cluster.Kill(lagging);
+  for (int i = 0; i < 300; ++i) {
+    cluster.ProposeAt(leader, EntryKind::kChange, "c" + std::to_string(i));
+    cluster.Run(Millis(10));
+  }
+  cluster.Run(Millis(500));
+  cluster.Compact(leader, "state of 300");
+  cluster.Restart(lagging);
+  cluster.Run(kSettle);
+  EXPECT_EQ(cluster.at(lagging).m_restored, "state of 300");
+  EXPECT_EQ(cluster.at(lagging).m_raft.m_commit,
+            cluster.at(leader).m_raft.m_commit);
+}
+
+TEST(Raft, KeepsStrangersOut) {
+  RaftCluster cluster(3, kSeed);
+  cluster.Run(kSettle);
+  RaftState& member = cluster.at("h0.0").m_raft;
+  const std::uint64_t term = member.m_hard.m_term;
+  VoteRequest request;
+  request.m_stamp = {"other group", "stranger", "h0.0", 1000};
+  RaftOutput output;
+  ReceiveRaft(member, request, 0, cluster.now(), output);
+  request.m_stamp.m_group_id = "group";
+  ReceiveRaft(member, request, 0, cluster.now(), output);
+  EXPECT_EQ(member.m_hard.m_term, term);
+  EXPECT_TRUE(output.m_send.empty());
+}
+
+TEST(Raft, AReadNeedsARoundThatAMajorityAnswered) {
+  RaftCluster cluster(3, kSeed);
+  cluster.Run(kSettle);
+  const std::string leader = cluster.Leader();
+  RaftState& raft = cluster.at(leader).m_raft;
+  cluster.Isolate(leader);
+  RaftOutput output;
+  const std::uint64_t round = StartRound(raft, cluster.now(), output);
+  cluster.Run(Millis(500));
+  EXPECT_FALSE(IsRoundProved(raft, round));
+}
+
+}  // namespace
+}  // namespace hemlockpoint
--- /dev/null
+++ b/test/hemlockpoint/membership/directory_test.cc
@@ -0,0 +1,109 @@
+#include "hemlockpoint/membership/directory.h"
+
+#include <gtest/gtest.h>
+
+namespace hemlockpoint {
+namespace {
+
+const ServiceName kStock("stock");
+constexpr Millis kWarm(10'000);
+
+MemberEntry MakeMember(const std::string& name,
+                       const std::string& service = "stock",
+                       std::uint64_t incarnation = 1) {
+  MemberEntry member;
+  member.m_node = NodeId(name);
+  member.m_incarnation = incarnation;
+  member.m_peer = "127.0.0.1:1";
+  member.m_target.m_service = ServiceName(service);
+  return member;
+}
+
+Heartbeat Interest(const Directory& directory, const ServiceName& service) {
+  Heartbeat heartbeat;
+  heartbeat.m_interests = {service};
+  heartbeat.m_directory_origin = directory.m_origin;
+  return heartbeat;
+}
+
+Directory MakeDirectory() {
+  Directory directory;
+  directory.m_origin = "c1-1";
+  return directory;
+}
+
+TEST(Directory, TellsOnlyTheServicesThatANodeCalls) {
+  Directory directory = MakeDirectory();
+  RenewMember(directory, MakeMember("a"), kWarm);
+  RenewMember(directory, MakeMember("b", "photos"), kWarm);
+  Subscriber subscriber;
+  UpdateInterests(subscriber, directory, Interest(directory, kStock));
+  const auto delta = TakeDelta(subscriber, directory, kWarm);
+  ASSERT_EQ(delta.m_changed.size(), 1U);
+  EXPECT_EQ(delta.m_changed[0].m_node, NodeId("a"));
+  EXPECT_TRUE(TakeDelta(subscriber, directory, kWarm).m_services.empty());
+}
+
+TEST(Directory, TellsChangesAlone) {
+  Directory directory = MakeDirectory();
+  for (int i = 0; i < 10; ++i) {
+    RenewMember(directory, MakeMember("n" + std::to_string(i)), kWarm);
+  }
+  Subscriber subscriber;
+  UpdateInterests(subscriber, directory, Interest(directory, kStock));
+  EXPECT_EQ(TakeDelta(subscriber, directory, kWarm).m_changed.size(), 10U);
+  MemberEntry leaving = MakeMember("n3");
+  leaving.m_target.m_leaving = true;
+  EXPECT_TRUE(RenewMember(directory, leaving, kWarm));
+  EXPECT_FALSE(RenewMember(directory, leaving, kWarm));
+  EXPECT_EQ(TakeDelta(subscriber, directory, kWarm).m_changed.size(), 1U);
+}
+
+TEST(Directory, NoticesADeadNodeWithinThreeSeconds) {
+  Directory directory = MakeDirectory();
+  RenewMember(directory, MakeMember("a"), Millis(0));
+  EXPECT_TRUE(ExpireMembers(directory, kMemberLease).empty());
+  EXPECT_EQ(ExpireMembers(directory, Millis(3000)).size(), 1U);
+}
+
+// Four heartbeats in a row would have to be lost for a false alarm, which at
+// 1 % loss of each, even without TCP's own repeats, is one in 10^8.
+TEST(Directory, FourLostHeartbeatsAreBorne) {
+  Directory directory = MakeDirectory();
+  RenewMember(directory, MakeMember("a"), Millis(0));
+  EXPECT_TRUE(ExpireMembers(directory, kHeartbeatPeriod * 4.9).empty());
+}
+
+TEST(Directory, ANewLeaderTakesNobodyForGoneWhileItWarmsUp) {
+  Directory directory = MakeDirectory();
+  directory.m_started = Millis(0);
+  RenewMember(directory, MakeMember("a"), Millis(10));
+  Subscriber subscriber;
+  UpdateInterests(subscriber, directory, Interest(directory, kStock));
+  EXPECT_FALSE(TakeDelta(subscriber, directory, Millis(20)).m_full);
+  RenewMember(directory, MakeMember("b"), Millis(30));
+  EXPECT_FALSE(TakeDelta(subscriber, directory, Millis(40)).m_full);
+  const auto delta = TakeDelta(subscriber, directory, kDirectoryWarmUp);
+  EXPECT_TRUE(delta.m_full);
+  EXPECT_EQ(delta.m_changed.size(), 2U);
+}
+
+TEST(Directory, AHeartbeatOfAFormerLifeChangesNothing) {
+  Directory directory = MakeDirectory();
+  RenewMember(directory, MakeMember("a", "stock", 5), Millis(0));
+  EXPECT_FALSE(RenewMember(directory, MakeMember("a", "old", 4), Millis(1)));
+  EXPECT_EQ(
+      directory.m_members.at(NodeId("a")).m_entry.m_target.m_service.value(),
+      "stock");
+}
+
+TEST(Directory, BoundsItsMembers) {
+  Directory directory = MakeDirectory();
+  for (std::size_t i = 0; i < kMaxMembers + 100; ++i) {
+    RenewMember(directory, MakeMember("n" + std::to_string(i)), Millis(0));
+  }
+  EXPECT_EQ(directory.m_members.size(), kMaxMembers);
+}
+
+}  // namespace
+}  // namespace hemlockpoint
--- /dev/null
+++ b/test/hemlockpoint/routing/throttle_test.cc
@@ -0,0 +1,36 @@
+#include "hemlockpoint/routing/throttle.h"
+
+#include <gtest/gtest.h>
+
+namespace hemlockpoint {
+namespace {
+
+TEST(Throttle, PassesEverythingToAHealthyService) {
+  ThrottleState throttle;
+  for (int i = 0; i < 1000; ++i) {
+    RecordThrottleRequest(throttle, Millis(i));
+    RecordThrottleAccept(throttle, Millis(i));
+  }
+  EXPECT_EQ(ThrottledShare(throttle, Millis(1000)), 0);
+}
+
+TEST(Throttle, HoldsBackFromAServiceThatTakesNothing) {
+  ThrottleState throttle;
+  for (int i = 0; i < 1000; ++i) {
+    RecordThrottleRequest(throttle, Millis(i));
+  }
+  const double share = ThrottledShare(throttle, Millis(1000));
+  EXPECT_GT(share, 0.9);
+  EXPECT_LT(share, 1);
+}
+
+TEST(Throttle, ForgetsWithinSeconds) {
+  ThrottleState throttle;
+  for (int i = 0; i < 100; ++i) {
+    RecordThrottleRequest(throttle, Millis(i));
+  }
+  EXPECT_EQ(ThrottledShare(throttle, Millis(20'000)), 0);
+}
+
+}  // namespace
+}  // namespace hemlockpoint
--- /dev/null
+++ b/test/hemlockpoint/wire/codec_test.cc
@@ -0,0 +1,95 @@
+#include "hemlockpoint/wire/codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace hemlockpoint {
+namespace {
+
+CallStart MakeCall() {
+  CallStart call;
+  call.m_call = CallId(7);
+  call.m_terms.m_root = RequestId("n1-1");
+  call.m_terms.m_time_left = Millis(250.5);
+  call.m_request.m_service = ServiceName("stock");
+  call.m_request.m_method = "POST";
+  call.m_request.m_path = "/book?x=1";
+  call.m_request.m_headers = {{"Accept", "*/*"}};
+  call.m_request.m_content_length = 3;
+  call.m_body.m_data = std::string("a\0b", 3);
+  return call;
+}
+
+TEST(Codec, KeepsACall) {
+  const auto decoded = DecodeMessage(EncodeMessage(MakeCall()));
+  ASSERT_TRUE(decoded) << decoded.reason();
+  const auto& call = std::get<CallStart>(*decoded);
+  EXPECT_EQ(call.m_terms.m_time_left, Millis(250.5));
+  EXPECT_EQ(call.m_request.m_headers[0].m_value, "*/*");
+  EXPECT_EQ(call.m_request.m_content_length, 3U);
+  EXPECT_EQ(call.m_body.m_data, std::string("a\0b", 3));
+}
+
+TEST(Codec, KeepsARefusal) {
+  AnswerStart answer;
+  answer.m_refusal = RefuseByRule(Reason::kBlocked, {Revision(4), "s", "r"});
+  const auto decoded = DecodeMessage(EncodeMessage(answer));
+  ASSERT_TRUE(decoded) << decoded.reason();
+  const auto& refusal = *std::get<AnswerStart>(*decoded).m_refusal;
+  EXPECT_EQ(refusal.m_decider, Decider::kOperator);
+  EXPECT_EQ(refusal.m_rule.m_rule, "r");
+}
+
+std::string Cbor(const char* json) {
+  std::string bytes;
+  nlohmann::json::to_cbor(nlohmann::json::parse(json), bytes);
+  return bytes;
+}
+
+TEST(Codec, SaysWhatIsWrong) {
+  EXPECT_EQ(DecodeMessage(Cbor("[1]")).reason(), "message is not a map");
+  EXPECT_EQ(DecodeMessage(Cbor("{}")).reason(), "message type missing");
+  EXPECT_EQ(DecodeMessage(Cbor(R"({"t":"no"})")).reason(),
+            "message type not known");
+  EXPECT_EQ(DecodeMessage(Cbor(R"({"t":"abort"})")).reason(),
+            "abort: field missing: call");
+  EXPECT_EQ(
+      DecodeMessage(Cbor(R"({"t":"abort","call":-1,"reason":""})")).reason(),
+      "abort: field of wrong type or range: call");
+  EXPECT_EQ(DecodeMessage("").reason(),
+            "not well-formed CBOR, or nested too deep");
+}
+
+TEST(Codec, RefusesDeepNesting) {
+  // One array in another, a million times.
+  const std::string nested(1'000'000, '\x81');
+  EXPECT_FALSE(DecodeMessage(nested));
+}
+
+TEST(Codec, RefusesAnEnumeratorOutOfRange) {
+  AnswerStart answer;
+  answer.m_refusal = RefuseBySignal(Reason::kShed, {});
+  auto json = nlohmann::json::from_cbor(EncodeMessage(answer));
+  json["refusal"]["reason"] = kReasonCount;
+  std::string bytes;
+  nlohmann::json::to_cbor(json, bytes);
+  EXPECT_FALSE(DecodeMessage(bytes));
+}
+
+RC_GTEST_PROP(Codec, SurvivesAnyBytes, (const std::string& bytes)) {
+  const auto decoded = DecodeMessage(bytes);
+  RC_ASSERT(decoded || !decoded.reason().empty());
+}
+
+RC_GTEST_PROP(Codec, SurvivesAChangedByte, ()) {
+  std::string bytes = EncodeMessage(MakeCall());
+  const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+  bytes[at] = *rc::gen::arbitrary<char>();
+  bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+  (void)DecodeMessage(bytes);
+}
+
+}  // namespace
+}  // namespace hemlockpoint
--- /dev/null
+++ b/test/support/raft_cluster.h
@@ -0,0 +1,262 @@
+#ifndef HEMLOCKPOINT_TEST_SUPPORT_RAFT_CLUSTER_H_
+#define HEMLOCKPOINT_TEST_SUPPORT_RAFT_CLUSTER_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "hemlockpoint/consensus/raft.h"
+
+namespace hemlockpoint {
+
+/// @brief One member with its disk, which outlives the member's memory.
+struct SimMember {
+  RaftState m_raft;
+  HardState m_disk_hard;
+  RaftLog m_disk_log;
+  bool m_up = true;
+  /// Entries applied in this life, after what a snapshot gave.
+  std::vector<LogEntry> m_applied;
+  std::string m_restored;
+};
+
+/// @brief A control group on a virtual clock and a network that loses,
+/// doubles, delays and cuts. One seed gives one run.
+class RaftCluster {
+ public:
+  RaftCluster(int members, std::uint64_t seed) : m_random(seed) {
+    GroupConfig config;
+    config.m_group_id = "group";
+    for (int i = 0; i < members; ++i) {
+      config.m_members.push_back(MakeMember(i, 0, true));
+    }
+    for (int i = 0; i < members; ++i) {
+      AddBlank(config.m_members[static_cast<std::size_t>(i)].m_instance);
+      RaftOutput output;
+      (void)InitGroup(m_members[InstanceOf(i, 0)].m_raft, config, output);
+      Settle(InstanceOf(i, 0), output);
+    }
+  }
+
+  static std::string InstanceOf(int host, int life) {
+    return "h" + std::to_string(host) + "." + std::to_string(life);
+  }
+
+  static GroupMember MakeMember(int host, int life, bool voter) {
+    GroupMember member;
+    member.m_node = NodeId("h" + std::to_string(host));
+    member.m_instance = InstanceOf(host, life);
+    member.m_peer = member.m_instance;
+    member.m_voter = voter;
+    return member;
+  }
+
+  void AddBlank(const std::string& instance) {
+    SimMember& member = m_members[instance];
+    member.m_raft.m_instance = instance;
+    StartRaft(member.m_raft, Random(), m_now);
+  }
+
+  /// Runs for a time in steps of 10 ms.
+  void Run(Millis duration) {
+    const Millis end = m_now + duration;
+    while (m_now < end) {
+      m_now += Millis(10);
+      Deliver();
+      for (auto& [instance, member] : m_members) {
+        if (member.m_up) {
+          RaftOutput output;
+          TickRaft(member.m_raft, Random(), m_now, output);
+          Settle(instance, output);
+        }
+      }
+      CheckLeaders();
+    }
+  }
+
+  [[nodiscard]] std::string Leader() const {
+    std::string leader;
+    std::uint64_t term = 0;
+    for (const auto& [instance, member] : m_members) {
+      const bool leads = member.m_up &&
+                         member.m_raft.m_role == RaftRole::kLeader &&
+                         member.m_raft.m_commit >= member.m_raft.m_term_start;
+      if (leads && member.m_raft.m_hard.m_term >= term) {
+        leader = instance;
+        term = member.m_raft.m_hard.m_term;
+      }
+    }
+    return leader;
+  }
+
+  std::optional<std::uint64_t> ProposeAt(const std::string& instance,
+                                         EntryKind kind,
+                                         const std::string& data) {
+    SimMember& member = m_members[instance];
+    if (!member.m_up) {
+      return std::nullopt;
+    }
+    RaftOutput output;
+    const auto index = Propose(member.m_raft, kind, data, m_now, output);
+    Settle(instance, output);
+    return index;
+  }
+
+  void Kill(const std::string& instance) { m_members[instance].m_up = false; }
+
+  void Restart(const std::string& instance) {
+    SimMember& member = m_members[instance];
+    RaftState fresh;
+    fresh.m_instance = instance;
+    fresh.m_hard = member.m_disk_hard;
+    fresh.m_log = member.m_disk_log;
+    member.m_raft = fresh;
+    member.m_applied.clear();
+    member.m_restored = member.m_disk_log.m_snapshot.m_data;
+    member.m_up = true;
+    StartRaft(member.m_raft, Random(), m_now);
+  }
+
+  void Compact(const std::string& instance, const std::string& data) {
+    RaftOutput output;
+    CompactLog(m_members[instance].m_raft, data, output);
+    Settle(instance, output);
+  }
+
+  /// Drops what goes from one to the other, silently.
+  void Cut(const std::string& from, const std::string& to) {
+    m_cut.insert({from, to});
+  }
+  void Isolate(const std::string& instance) {
+    for (const auto& [other, member] : m_members) {
+      Cut(instance, other);
+      Cut(other, instance);
+    }
+  }
+  void Heal() { m_cut.clear(); }
+
+  SimMember& at(const std::string& instance) { return m_members[instance]; }
+  [[nodiscard]] const std::map<std::string, SimMember>& members() const {
+    return m_members;
+  }
+  [[nodiscard]] Millis now() const { return m_now; }
+  double Random() {
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+  }
+  std::mt19937_64& random() { return m_random; }
+
+  /// Entries that any member has applied, by index; the first one counts.
+  std::map<std::uint64_t, LogEntry> m_committed;
+  /// A broken promise, in words; empty while all hold.
+  std::string m_violation;
+  double m_loss = 0;
+  double m_double = 0;
+  Millis m_longest_delay{20};
+
+ private:
+  struct Flight {
+    Millis m_arrival;
+    std::string m_from;
+    std::string m_to;
+    RaftMessage m_message;
+  };
+
+  void Settle(const std::string& instance, const RaftOutput& output) {
+    SimMember& member = m_members[instance];
+    for (const RaftWrite& write : output.m_writes) {
+      Persist(member, write);
+    }
+    for (const RaftEnvelope& envelope : output.m_send) {
+      Send(instance, envelope);
+    }
+    if (output.m_restore) {
+      member.m_restored = output.m_restore->m_data;
+      member.m_applied.clear();
+    }
+    for (const LogEntry& entry : output.m_committed) {
+      member.m_applied.push_back(entry);
+      CheckCommitted(instance, entry);
+    }
+  }
+
+  static void Persist(SimMember& member, const RaftWrite& write) {
+    if (const auto* hard = std::get_if<HardState>(&write)) {
+      member.m_disk_hard = *hard;
+    } else if (const auto* truncate = std::get_if<TruncateWrite>(&write)) {
+      TruncateFrom(member.m_disk_log, truncate->m_from);
+    } else if (const auto* entry = std::get_if<LogEntry>(&write)) {
+      member.m_disk_log.m_entries.push_back(*entry);
+    } else if (const auto* snapshot = std::get_if<RaftSnapshot>(&write)) {
+      PutSnapshot(member.m_disk_log, *snapshot);
+    }
+  }
+
+  void Send(const std::string& from, const RaftEnvelope& envelope) {
+    const std::string to = envelope.m_to.m_instance;
+    const int copies = Random() < m_double ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      if (Random() >= m_loss) {
+        const Millis delay = m_longest_delay * Random();
+        m_flights.push_back({m_now + delay, from, to, envelope.m_message});
+      }
+    }
+  }
+
+  void Deliver() {
+    std::deque<Flight> waiting;
+    waiting.swap(m_flights);
+    for (Flight& flight : waiting) {
+      if (flight.m_arrival > m_now) {
+        m_flights.push_back(std::move(flight));
+        continue;
+      }
+      const auto member = m_members.find(flight.m_to);
+      const bool cut = m_cut.count({flight.m_from, flight.m_to}) != 0;
+      if (cut || member == m_members.end() || !member->second.m_up) {
+        continue;
+      }
+      RaftOutput output;
+      ReceiveRaft(member->second.m_raft, flight.m_message, Random(), m_now,
+                  output);
+      Settle(flight.m_to, output);
+    }
+  }
+
+  void CheckCommitted(const std::string& instance, const LogEntry& entry) {
+    const auto [known, added] = m_committed.emplace(entry.m_index, entry);
+    if (!added && (known->second.m_term != entry.m_term ||
+                   known->second.m_data.m_data != entry.m_data.m_data)) {
+      m_violation =
+          "entry " + std::to_string(entry.m_index) + " differs at " + instance;
+    }
+  }
+
+  void CheckLeaders() {
+    for (const auto& [instance, member] : m_members) {
+      if (member.m_raft.m_role != RaftRole::kLeader) {
+        continue;
+      }
+      const auto [known, added] =
+          m_leaders.emplace(member.m_raft.m_hard.m_term, instance);
+      if (!added && known->second != instance) {
+        m_violation = "two leaders in term " +
+                      std::to_string(member.m_raft.m_hard.m_term);
+      }
+    }
+  }
+
+  std::mt19937_64 m_random;
+  Millis m_now{1000};
+  std::map<std::string, SimMember> m_members;
+  std::deque<Flight> m_flights;
+  std::set<std::pair<std::string, std::string>> m_cut;
+  std::map<std::uint64_t, std::string> m_leaders;
+};
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_TEST_SUPPORT_RAFT_CLUSTER_H_
