Let the shedding threshold follow a surge

Cause: at the start of a surge the threshold was set from a throughput that the quiet time before had kept low, and could then only fall while calls waited, so orders were shed with room to spare. Ruled out: the load program (at a third of the rate, with a processor free, the effect stayed), the decay of the rank histogram (it errs towards admitting).

Conclusion: the estimate rises at 0.7 a window and falls at 0.3, and the share let in under overload follows the wait instead of ratcheting down.

--- a/src/hemlockpoint/admission/shed.cc
+++ b/src/hemlockpoint/admission/shed.cc
@@ -9,10 +9,16 @@
 namespace {
 
 constexpr double kDecay = 0.7;
-constexpr double kThroughputWeight = 0.3;
+// The estimate of what the target can do rises quickly, so that the start of
+// a surge isn't judged by the quiet time before, and falls slowly.
+constexpr double kThroughputRise = 0.7;
+constexpr double kThroughputFall = 0.3;
 // Under overload slightly less is let in than gets finished, so that the
 // queue drains.
 constexpr double kOverloadShare = 0.97;
+// Each further delay target of waiting takes this much off, up to a bound.
+constexpr double kSharePerTarget = 0.05;
+constexpr double kLongestWaitShare = 0.3;
 constexpr double kRaisePerWindow = 1.1;
 // A threshold that lets in all that is offered, and this much more, is not
 // needed any longer.
@@ -58,12 +64,20 @@
 void MeasureThroughput(ShedState& state, bool busy) {
   const auto completions = static_cast<double>(state.m_window_completions);
   state.m_window_completions = 0;
-  if (busy || completions > state.m_throughput) {
-    state.m_throughput +=
-        (completions - state.m_throughput) * kThroughputWeight;
+  if (completions > state.m_throughput) {
+    state.m_throughput += (completions - state.m_throughput) * kThroughputRise;
+  } else if (busy) {
+    state.m_throughput += (completions - state.m_throughput) * kThroughputFall;
   }
 }
 
+// Calls per window to let in while calls wait for too long.
+double AdmitUnderOverload(const ShedState& state, Millis wait) {
+  const double targets = wait / kQueueDelayTarget - 1;
+  const double off = std::min(kLongestWaitShare, kSharePerTarget * targets);
+  return std::max(1.0, state.m_throughput * (kOverloadShare - off));
+}
+
 }  // namespace
 
 double RankOf(std::size_t priority_class, const RequestId& root) {
@@ -98,9 +112,7 @@
 
   const bool shedding = state.m_admit > 0;
   if (wait > kQueueDelayTarget) {
-    const double admit = state.m_throughput * kOverloadShare;
-    state.m_admit =
-        std::max(1.0, shedding ? std::min(state.m_admit, admit) : admit);
+    state.m_admit = AdmitUnderOverload(state, wait);
   } else if (shedding && wait < kQueueDelayTarget * 0.5) {
     state.m_admit = state.m_admit * kRaisePerWindow + 1;
   }
--- a/src/hemlockpoint/claims/replica.h
+++ b/src/hemlockpoint/claims/replica.h
@@ -16,10 +16,10 @@
 /// @brief Claims of one service at one replica at most; more are refused.
 inline constexpr std::size_t kMaxClaims = 100'000;
 /// @brief Longest answer that replicas keep.
-inline constexpr std::size_t kMaxKeptAnswerBytes = 8 * 1024;
+inline constexpr std::size_t kMaxKeptAnswerBytes = std::size_t{8} * 1024;
 /// @brief Bytes of kept answers at one replica; beyond it claims are kept
 /// without their answer.
-inline constexpr std::size_t kMaxKeptBytes = 24 * 1024 * 1024;
+inline constexpr std::size_t kMaxKeptBytes = std::size_t{24} * 1024 * 1024;
 /// @brief Rows of one sync message at most.
 inline constexpr std::size_t kMaxSyncRows = 64;
 
--- a/src/hemlockpoint/config/settings.h
+++ b/src/hemlockpoint/config/settings.h
@@ -23,7 +23,7 @@
 
 /// @brief Bounds of what one process accepts from callers.
 struct CallerLimits {
-  std::uint64_t m_body_bytes = 64 * 1024 * 1024;
+  std::uint64_t m_body_bytes = std::uint64_t{64} * 1024 * 1024;
   std::uint32_t m_header_bytes = 16 * 1024;
   std::size_t m_connections = 4096;
   /// Calls that have entered here and not ended.
--- a/src/hemlockpoint/consensus/raft.h
+++ b/src/hemlockpoint/consensus/raft.h
@@ -27,7 +27,7 @@
 /// @brief Entries of one message at most.
 inline constexpr std::size_t kMaxAppendEntries = 64;
 /// @brief Bytes of entries in one message, but for a single larger entry.
-inline constexpr std::size_t kMaxAppendBytes = 512 * 1024;
+inline constexpr std::size_t kMaxAppendBytes = std::size_t{512} * 1024;
 
 using RaftMessage = std::variant<VoteRequest,
                                  VoteReply,
--- a/src/hemlockpoint/control/group_driver.cc
+++ b/src/hemlockpoint/control/group_driver.cc
@@ -17,7 +17,7 @@
 
 constexpr Millis kRaftTick(20);
 constexpr std::size_t kCompactAfterEntries = 256;
-constexpr std::size_t kCompactAfterBytes = 1024 * 1024;
+constexpr std::size_t kCompactAfterBytes = std::size_t{1024} * 1024;
 constexpr int kExitDiskFailed = 1;
 
 std::uint64_t RandomNumber() {
--- a/src/hemlockpoint/entry/caller_request.h
+++ b/src/hemlockpoint/entry/caller_request.h
@@ -32,7 +32,7 @@
 
 inline constexpr std::size_t kMaxKeyBytes = 128;
 inline constexpr std::size_t kMaxServiceBytes = 64;
-inline constexpr std::size_t kMaxPathBytes = 8 * 1024;
+inline constexpr std::size_t kMaxPathBytes = std::size_t{8} * 1024;
 
 /// @brief What a caller's or a service's request states.
 struct CallerRequest {
--- a/src/hemlockpoint/http/server.h
+++ b/src/hemlockpoint/http/server.h
@@ -16,7 +16,7 @@
 /// @brief Bounds of an HTTP listener.
 struct HttpServerLimits {
   std::uint32_t m_header_bytes = 16 * 1024;
-  std::uint64_t m_body_bytes = 64 * 1024 * 1024;
+  std::uint64_t m_body_bytes = std::uint64_t{64} * 1024 * 1024;
   std::size_t m_connections = 4096;
   /// Time for a caller to send a request's head once it has begun.
   Millis m_head_timeout{10'000};
--- a/src/hemlockpoint/node/admin_service.h
+++ b/src/hemlockpoint/node/admin_service.h
@@ -32,7 +32,7 @@
   using Handler = std::function<AdminResponse(const AdminRequest&)>;
 
   /// @brief Largest body of an operator's request in bytes.
-  static constexpr std::size_t kMaxBodyBytes = 512 * 1024;
+  static constexpr std::size_t kMaxBodyBytes = std::size_t{512} * 1024;
 
   /// @param method_and_path Such as "GET /metrics".
   void Add(const std::string& method_and_path, Handler handler);
--- a/src/hemlockpoint/node/keyed_calls.h
+++ b/src/hemlockpoint/node/keyed_calls.h
@@ -14,7 +14,7 @@
 namespace hemlockpoint {
 
 /// @brief Longest answer that the node which ran a call keeps.
-inline constexpr std::size_t kMaxLocalAnswerBytes = 64 * 1024;
+inline constexpr std::size_t kMaxLocalAnswerBytes = std::size_t{64} * 1024;
 /// @brief Keys that a node remembers at most. An ended call's key gives way,
 /// and its resend is answered from the replicas.
 inline constexpr std::size_t kMaxLocalKeys = 8192;
--- a/src/hemlockpoint/policy/policy.h
+++ b/src/hemlockpoint/policy/policy.h
@@ -18,8 +18,8 @@
 inline constexpr const char* kPlatformSection = "platform";
 
 /// @brief Most bytes of a section's text, and of all sections together.
-inline constexpr std::size_t kMaxSectionBytes = 64 * 1024;
-inline constexpr std::size_t kMaxDocumentBytes = 256 * 1024;
+inline constexpr std::size_t kMaxSectionBytes = std::size_t{64} * 1024;
+inline constexpr std::size_t kMaxDocumentBytes = std::size_t{256} * 1024;
 inline constexpr std::size_t kMaxSections = 32;
 inline constexpr std::size_t kMaxClasses = 8;
 
--- a/src/hemlockpoint/runtime/fiber_loop.cc
+++ b/src/hemlockpoint/runtime/fiber_loop.cc
@@ -18,7 +18,7 @@
 
 namespace fibers = boost::fibers;
 
-constexpr std::size_t kStackBytes = 128 * 1024;
+constexpr std::size_t kStackBytes = std::size_t{128} * 1024;
 // Stacks are reserved in groups; only pages that were touched are resident.
 constexpr std::size_t kStacksPerChunk = 16;
 
--- a/src/hemlockpoint/storage/records.h
+++ b/src/hemlockpoint/storage/records.h
@@ -17,7 +17,7 @@
 };
 
 /// @brief Largest payload of one record.
-inline constexpr std::size_t kMaxRecordBytes = 4 * 1024 * 1024;
+inline constexpr std::size_t kMaxRecordBytes = std::size_t{4} * 1024 * 1024;
 
 /// @return A payload as a record: a header with its own checksum, then the
 /// payload with its checksum (XXH3, 64 bits).
--- a/src/hemlockpoint/transport/link_layer.cc
+++ b/src/hemlockpoint/transport/link_layer.cc
@@ -16,12 +16,12 @@
 
 // Queued bytes above which body chunks wait, so that short messages don't
 // stand behind them.
-constexpr std::size_t kMaxBufferedBytes = 512 * 1024;
+constexpr std::size_t kMaxBufferedBytes = std::size_t{512} * 1024;
 constexpr Millis kBufferPoll(0.5);
 constexpr Millis kGreetingTimeout(2000);
 // A peer that is silent must not fill this process's memory.
 constexpr std::size_t kMaxOutboxMessages = 256;
-constexpr std::size_t kMaxControlBufferedBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaxControlBufferedBytes = std::size_t{4} * 1024 * 1024;
 constexpr Millis kOutboxLinkTimeout(400);
 
 using CallTable = std::unordered_map<CallId, std::shared_ptr<CallState>>;
--- a/src/hemlockpoint/wire/call_messages.h
+++ b/src/hemlockpoint/wire/call_messages.h
@@ -18,10 +18,10 @@
 
 /// @brief Bytes of one body chunk at most, so that chunks of large bodies
 /// interleave with small messages.
-inline constexpr std::size_t kMaxChunkBytes = 64 * 1024;
+inline constexpr std::size_t kMaxChunkBytes = std::size_t{64} * 1024;
 
 /// @brief Unread body bytes that a receiver grants a sender for each call.
-inline constexpr std::size_t kBodyWindowBytes = 256 * 1024;
+inline constexpr std::size_t kBodyWindowBytes = std::size_t{256} * 1024;
 
 /// @brief Binary content, encoded as a CBOR byte string.
 struct Bytes {
--- a/src/hemlockpoint/wire/codec.h
+++ b/src/hemlockpoint/wire/codec.h
@@ -10,7 +10,7 @@
 namespace hemlockpoint {
 
 /// @brief Largest encoded message; larger frames close their link.
-inline constexpr std::size_t kMaxMessageBytes = 2 * 1024 * 1024;
+inline constexpr std::size_t kMaxMessageBytes = std::size_t{2} * 1024 * 1024;
 
 /// @brief Deepest nesting of maps and arrays in a message.
 inline constexpr int kMaxMessageDepth = 16;
