--- a/src/hemlockpoint/ctl/commands.cc
+++ b/src/hemlockpoint/ctl/commands.cc
@@ -7,6 +7,7 @@
 
 #include "hemlockpoint/ctl/control_commands.h"
 #include "hemlockpoint/ctl/policy_commands.h"
+#include "hemlockpoint/ctl/report_commands.h"
 
 namespace hemlockpoint {
 
@@ -193,6 +194,7 @@
         {"explain", Explain}, {"members", Members}, {"status", Status}};
     all.insert(PolicyCommands().begin(), PolicyCommands().end());
     all.insert(ControlCommands().begin(), ControlCommands().end());
+    all.insert(ReportCommands().begin(), ReportCommands().end());
     return all;
   }();
   return commands;
--- /dev/null
+++ b/src/hemlockpoint/ctl/report_commands.cc
@@ -0,0 +1,112 @@
+#include "hemlockpoint/ctl/report_commands.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <iostream>
+
+namespace hemlockpoint {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+std::string Number(double value) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.2f", value);
+  return text.data();
+}
+
+double BurnOf(const ordered_json& window, double good_share) {
+  const double total = window["total"].get<double>();
+  const double bad = window["bad"].get<double>();
+  return total == 0 ? 0 : bad / total / (1 - good_share);
+}
+
+void AddRow(ordered_json& into, const ordered_json& row) {
+  into["answers"] = into["answers"].get<std::uint64_t>() +
+                    row["answers"].get<std::uint64_t>();
+  // A quantile over all nodes can't be had from theirs; the worst is shown.
+  into["p99_ms"] =
+      std::max(into["p99_ms"].get<double>(), row["p99_ms"].get<double>());
+  for (std::size_t i = 0; i < row["windows"].size(); ++i) {
+    for (const char* field : {"total", "bad"}) {
+      ordered_json& sum = into["windows"][i][field];
+      sum = sum.get<std::uint64_t>() +
+            row["windows"][i][field].get<std::uint64_t>();
+    }
+  }
+}
+
+CtlExit Burn(CtlContext& context) {
+  const auto members = GetFromLeader(context, "/hemlock/v1/members");
+  if (!members) {
+    return Unreachable(context, members.reason());
+  }
+  std::vector<ordered_json> nodes;
+  for (const auto& member : (*members)["members"]) {
+    const auto admin = ParseEndpoint(TextOf(member["admin"]));
+    if (!admin) {
+      continue;
+    }
+    const auto rows = GetJson(context, *admin, "/hemlock/v1/burn");
+    if (rows) {
+      nodes.push_back(*rows);
+    } else {
+      context.m_err << "hemlockctl: " << rows.reason() << "\n";
+    }
+  }
+  const ordered_json report = MergeBurn(nodes);
+  if (context.m_options.m_json) {
+    context.m_out << report.dump(2) << "\n";
+    return CtlExit::kDone;
+  }
+  const std::vector<int> widths = {14, 12, 20, 8, 10, 10, 10, 10};
+  PrintRow(context.m_out, widths,
+           {"SERVICE", "CLASS", "OBJECTIVE", "GOOD", "BURN 5M", "BURN 1H",
+            "BURN 6H", "P99 MS"});
+  for (const auto& row : report) {
+    PrintRow(
+        context.m_out, widths,
+        {TextOf(row["service"]), TextOf(row["class"]), TextOf(row["objective"]),
+         TextOf(row["good_share"]), Number(row["windows"][0]["burn"]),
+         Number(row["windows"][1]["burn"]), Number(row["windows"][2]["burn"]),
+         Number(row["p99_ms"])});
+  }
+  return CtlExit::kDone;
+}
+
+}  // namespace
+
+const std::map<std::string, CtlCommand>& ReportCommands() {
+  static const std::map<std::string, CtlCommand> commands = {
+      {"report burn", Burn}};
+  return commands;
+}
+
+ordered_json MergeBurn(const std::vector<ordered_json>& nodes) {
+  std::map<std::string, ordered_json> merged;
+  for (const ordered_json& rows : nodes) {
+    for (const auto& row : rows) {
+      const std::string key = TextOf(row["service"]) + " " +
+                              TextOf(row["class"]) + " " +
+                              TextOf(row["objective"]);
+      const auto known = merged.find(key);
+      if (known == merged.end()) {
+        merged[key] = row;
+      } else {
+        AddRow(known->second, row);
+      }
+    }
+  }
+  ordered_json report = ordered_json::array();
+  for (auto& [key, row] : merged) {
+    for (auto& window : row["windows"]) {
+      window["burn"] = BurnOf(window, row["good_share"].get<double>());
+    }
+    report.push_back(row);
+  }
+  return report;
+}
+
+}  // namespace hemlockpoint
--- a/src/hemlockpoint/entry/filters.cc
+++ b/src/hemlockpoint/entry/filters.cc
@@ -156,10 +156,11 @@
                                       Millis now) {
   ThrottleState& throttle = state.m_throttles[call.m_request.m_service];
   const double share = ThrottledShare(throttle, now);
-  RecordThrottleRequest(throttle, now);
   if (random >= share) {
+    // It counts when its end is known, or calls in flight would look refused.
     return std::nullopt;
   }
+  RecordThrottleRequest(throttle, now);
   Refusal refusal =
       RefuseBySignal(Reason::kThrottled, {"throttled_share", share, 0});
   refusal.m_retry_after = kThrottleRetryAfter;
--- a/src/hemlockpoint/node/core.h
+++ b/src/hemlockpoint/node/core.h
@@ -8,6 +8,7 @@
 #include "hemlockpoint/config/settings.h"
 #include "hemlockpoint/entry/filters.h"
 #include "hemlockpoint/entry/records.h"
+#include "hemlockpoint/report/burn.h"
 #include "hemlockpoint/report/counters.h"
 #include "hemlockpoint/report/decisions.h"
 #include "hemlockpoint/runtime/fiber_loop.h"
@@ -39,6 +40,7 @@
   bool m_policy_known = false;
   DecisionLog m_decisions;
   Counters m_counters;
+  BurnTable m_burn;
   /// Set before the controllers run; outlives them.
   LinkLayer* m_links = nullptr;
   /// Calls that have entered here and not ended.
--- a/src/hemlockpoint/node/entry_service.cc
+++ b/src/hemlockpoint/node/entry_service.cc
@@ -83,6 +83,7 @@
   } else if (!progress.m_caller_gone) {
     RelayAnswer(progress);
   }
+  CountObjective(progress, refusal.has_value());
   StopBodyPump(progress);
   const auto parent = m_core.m_records.find(progress.m_parent_record);
   if (parent != m_core.m_records.end()) {
@@ -456,11 +457,26 @@
   }
   RecordEnd(m_core.m_entry.m_services[call.m_request.m_service], node, end,
             call.m_kind, now - sent, now);
+  if (end != SendEnd::kCancelled) {
+    CountForThrottle(call, refusal, now);
+  }
+}
+
+void EntryService::CountForThrottle(const EntryCall& call,
+                                    const std::optional<Refusal>& refusal,
+                                    Millis now) {
+  const bool leaving =
+      refusal && (refusal->m_reason == Reason::kTargetLeaving ||
+                  refusal->m_reason == Reason::kNodeLeaving);
+  if (leaving) {
+    return;
+  }
+  ThrottleState& throttle =
+      m_core.m_entry.m_throttles[call.m_request.m_service];
+  RecordThrottleRequest(throttle, now);
   // A shed call says that the service is alive; its threshold is told anyway.
-  const bool shed = refusal && refusal->m_reason == Reason::kShed;
-  if (end == SendEnd::kAnswered || shed) {
-    RecordThrottleAccept(m_core.m_entry.m_throttles[call.m_request.m_service],
-                         now);
+  if (!refusal || refusal->m_reason == Reason::kShed) {
+    RecordThrottleAccept(throttle, now);
   }
 }
 
@@ -534,6 +550,22 @@
   progress.m_exchange.Respond(response.m_head, response.m_body);
 }
 
+// Only root calls count, and only those whose caller stayed to the end.
+void EntryService::CountObjective(const Progress& progress, bool refused) {
+  const EntryCall& call = progress.m_call;
+  if (!call.m_is_root || !call.m_policy || progress.m_caller_gone) {
+    return;
+  }
+  constexpr std::uint64_t kServerError = 500;
+  const bool answered = !refused && progress.m_answer &&
+                        progress.m_answer->m_status < kServerError;
+  const Millis now = SteadyNow();
+  RecordObjective(m_core.m_burn, *call.m_policy,
+                  {call.m_caller.value(), call.m_request.m_service.value(),
+                   call.m_request.m_method, PathOnly(call.m_request.m_path)},
+                  call.m_class, answered, now - call.m_arrived, now);
+}
+
 void EntryService::Note(const Progress& progress,
                         const NodeId& target,
                         const Refusal& refusal,
--- a/src/hemlockpoint/node/entry_service.h
+++ b/src/hemlockpoint/node/entry_service.h
@@ -45,6 +45,7 @@
   void StopBodyPump(Progress& progress);
   void RelayAnswer(Progress& progress);
   void Reject(Progress& progress, Refusal refusal, const std::string& detail);
+  void CountObjective(const Progress& progress, bool refused);
   void Note(const Progress& progress,
             const NodeId& target,
             const Refusal& refusal,
@@ -53,6 +54,9 @@
                      const NodeId& node,
                      const std::optional<Refusal>& refusal,
                      Millis sent);
+  void CountForThrottle(const EntryCall& call,
+                        const std::optional<Refusal>& refusal,
+                        Millis now);
   CallBudget& BudgetOf(Progress& progress);
 
   NodeCore& m_core;
--- a/src/hemlockpoint/node/node.cc
+++ b/src/hemlockpoint/node/node.cc
@@ -177,6 +177,9 @@
     });
     m_admin.Add("GET /hemlock/v1/explain",
                 [this](const AdminRequest& r) { return Explain(r); });
+    m_admin.Add("GET /hemlock/v1/burn", [this](const AdminRequest&) {
+      return JsonResponse(BurnJson(m_core.m_burn, SteadyNow()));
+    });
     m_admin.Add("GET /metrics", [this](const AdminRequest&) {
       AdminResponse response;
       response.m_content_type = "text/plain; version=0.0.4";
--- a/test/hemlockpoint/entry/filters_test.cc
+++ b/test/hemlockpoint/entry/filters_test.cc
@@ -86,6 +86,14 @@
   EXPECT_FALSE(fixture.Run(kThresholdFreshFor));
 }
 
+// Calls of long work that are still running were once counted as refused.
+TEST(Filters, CallsInFlightDoNotThrottleTheNext) {
+  Fixture fixture;
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_FALSE(fixture.Run(Millis(i * 10.0)));
+  }
+}
+
 TEST(Filters, ChargeAResendToItsCaller) {
   Fixture fixture;
   FailedRequest failure;
