Don't take waiting long work for overload; split large files

Cause: long calls that waited for their share of the slots counted as waiting time, so short calls beside them were shed.

The log's rules are split by elections and replication, the entry by its attempts; the store uses the section message in place of a copy of it.

--- a/src/hemlockpoint/admission/admission.cc
+++ b/src/hemlockpoint/admission/admission.cc
@@ -70,13 +70,20 @@
   return count > 0 ? sum / count : 1;
 }
 
+// Long work waits for its share of the slots, which says nothing about load.
+void NoteWait(AdmissionState& state, const QueuedCall& call, Millis now) {
+  if (!call.m_long) {
+    RecordWait(state.m_shed, now - call.m_arrival);
+  }
+}
+
 std::vector<DroppedCall> DropUnreachable(AdmissionState& state, Millis now) {
   std::vector<DroppedCall> dropped;
   const auto lost = DequeueIf(state.m_queue, [&](const QueuedCall& call) {
     return CannotFinish(state, call.m_kind, call.m_deadline, now);
   });
   for (const QueuedCall& call : lost) {
-    RecordWait(state.m_shed, now - call.m_arrival);
+    NoteWait(state, call, now);
     const Millis expected = ExpectedDuration(state.m_durations, call.m_kind);
     dropped.push_back(
         {call.m_call, UnreachableRefusal(expected, call.m_deadline - now)});
@@ -135,7 +142,7 @@
     if (!next) {
       break;
     }
-    RecordWait(state.m_shed, now - next->m_arrival);
+    NoteWait(state, *next, now);
     RunningCall running;
     running.m_kind = next->m_kind;
     running.m_dispatched = now;
--- a/src/hemlockpoint/admission/call_queue.cc
+++ b/src/hemlockpoint/admission/call_queue.cc
@@ -111,7 +111,9 @@
   Millis oldest(0);
   for (const Calls& calls : queue.m_classes) {
     for (const QueuedCall& call : calls) {
-      oldest = Max(oldest, now - call.m_arrival);
+      if (!call.m_long) {
+        oldest = Max(oldest, now - call.m_arrival);
+      }
     }
   }
   return oldest;
--- a/src/hemlockpoint/admission/call_queue.h
+++ b/src/hemlockpoint/admission/call_queue.h
@@ -62,7 +62,8 @@
 /// @return Whether it was waiting.
 bool RemoveCall(CallQueue& queue, CallId call);
 
-/// @return How long the longest-waiting call has waited; zero when empty.
+/// @return How long the longest-waiting short call has waited; zero when there
+/// is none. Long work that waits for its share is no sign of overload.
 [[nodiscard]] Millis OldestWait(const CallQueue& queue, Millis now);
 
 /// @return Whether the queue has not been empty for kStandingQueueAfter.
--- a/src/hemlockpoint/admission/shed.cc
+++ b/src/hemlockpoint/admission/shed.cc
@@ -20,6 +20,8 @@
 constexpr double kSharePerTarget = 0.05;
 constexpr double kLongestWaitShare = 0.3;
 constexpr double kRaisePerWindow = 1.1;
+// More is let in while calls wait for less than this share of the target.
+constexpr double kRaiseBelow = 0.75;
 // A threshold that lets in all that is offered, and this much more, is not
 // needed any longer.
 constexpr double kAmple = 1.2;
@@ -113,7 +115,7 @@
   const bool shedding = state.m_admit > 0;
   if (wait > kQueueDelayTarget) {
     state.m_admit = AdmitUnderOverload(state, wait);
-  } else if (shedding && wait < kQueueDelayTarget * 0.5) {
+  } else if (shedding && wait < kQueueDelayTarget * kRaiseBelow) {
     state.m_admit = state.m_admit * kRaisePerWindow + 1;
   }
   if (state.m_admit > OfferedPerWindow(state) * kAmple) {
--- /dev/null
+++ b/src/hemlockpoint/consensus/raft_common.cc
@@ -0,0 +1,109 @@
+// Steps that elections and replication share.
+
+#include "hemlockpoint/consensus/raft_internal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockpoint::internal {
+
+namespace {
+
+std::size_t CountVoters(const GroupConfig& config) {
+  return static_cast<std::size_t>(
+      std::count_if(config.m_members.begin(), config.m_members.end(),
+                    [](const GroupMember& member) { return member.m_voter; }));
+}
+
+}  // namespace
+
+std::size_t Majority(const RaftState& state) {
+  return CountVoters(state.m_config.m_config) / 2 + 1;
+}
+
+bool IsVoter(const RaftState& state, const std::string& instance) {
+  const GroupMember* member = FindInstance(state.m_config.m_config, instance);
+  return member != nullptr && member->m_voter;
+}
+
+namespace {
+
+RaftStamp StampFor(const RaftState& state, const GroupMember& to) {
+  RaftStamp stamp;
+  stamp.m_group_id = IsInGroup(state) ? state.m_config.m_config.m_group_id
+                                      : state.m_joining_group;
+  stamp.m_from_instance = state.m_instance;
+  stamp.m_to_instance = to.m_instance;
+  stamp.m_term = state.m_hard.m_term;
+  return stamp;
+}
+
+}  // namespace
+
+void SendTo(const RaftState& state,
+            const std::string& instance,
+            RaftMessage message,
+            RaftOutput& output) {
+  const GroupMember* member = FindInstance(state.m_config.m_config, instance);
+  GroupMember to;
+  if (member != nullptr) {
+    to = *member;
+  } else {
+    // A joining member doesn't know the leader yet; its driver answers on the
+    // link that the leader opened.
+    to.m_instance = instance;
+  }
+  std::visit([&](auto& value) { value.m_stamp = StampFor(state, to); },
+             message);
+  output.m_send.push_back({std::move(to), std::move(message)});
+}
+
+void ResetElectionTimer(RaftState& state, double random, Millis now) {
+  const Millis spread = kElectionTimeoutMax - kElectionTimeoutMin;
+  state.m_election_deadline = now + kElectionTimeoutMin + spread * random;
+}
+
+void WriteHardState(const RaftState& state, RaftOutput& output) {
+  output.m_writes.emplace_back(state.m_hard);
+}
+
+void BecomeFollower(RaftState& state,
+                    std::uint64_t term,
+                    double random,
+                    Millis now,
+                    RaftOutput& output) {
+  if (term > state.m_hard.m_term) {
+    state.m_hard = {term, ""};
+    state.m_leader.clear();
+    WriteHardState(state, output);
+  }
+  if (state.m_role == RaftRole::kLeader) {
+    state.m_leader.clear();
+  }
+  state.m_role = RaftRole::kFollower;
+  ResetElectionTimer(state, random, now);
+}
+
+void AppendEntry(RaftState& state, LogEntry entry, RaftOutput& output) {
+  const bool config = entry.m_kind == EntryKind::kConfig;
+  output.m_writes.emplace_back(entry);
+  state.m_log.m_entries.push_back(std::move(entry));
+  if (config) {
+    state.m_config = FindConfig(state.m_log);
+  }
+}
+
+void TakeCommitted(RaftState& state, std::uint64_t commit, RaftOutput& output) {
+  state.m_commit =
+      std::max(state.m_commit, std::min(commit, LastIndex(state.m_log)));
+  while (state.m_applied < state.m_commit) {
+    const LogEntry* entry = EntryAt(state.m_log, state.m_applied + 1);
+    if (entry == nullptr) {
+      return;
+    }
+    output.m_committed.push_back(*entry);
+    ++state.m_applied;
+  }
+}
+
+}  // namespace hemlockpoint::internal
--- /dev/null
+++ b/src/hemlockpoint/consensus/raft_election.cc
@@ -0,0 +1,137 @@
+// Pre-votes, votes and the start of a leader's term.
+
+#include "hemlockpoint/consensus/raft_internal.h"
+
+#include <utility>
+
+namespace hemlockpoint::internal {
+
+namespace {
+
+void SendVoteRequests(RaftState& state, bool pre_vote, RaftOutput& output) {
+  for (const GroupMember& member : state.m_config.m_config.m_members) {
+    if (!member.m_voter || member.m_instance == state.m_instance) {
+      continue;
+    }
+    VoteRequest request;
+    request.m_pre_vote = pre_vote;
+    request.m_last_index = LastIndex(state.m_log);
+    request.m_last_term = LastTerm(state.m_log);
+    SendTo(state, member.m_instance, request, output);
+  }
+}
+
+void StartElection(RaftState& state, Millis now, RaftOutput& output) {
+  state.m_role = RaftRole::kCandidate;
+  state.m_leader.clear();
+  state.m_hard = {state.m_hard.m_term + 1, state.m_instance};
+  WriteHardState(state, output);
+  state.m_votes = {state.m_instance};
+  if (state.m_votes.size() >= Majority(state)) {
+    BecomeLeader(state, now, output);
+    return;
+  }
+  SendVoteRequests(state, false, output);
+}
+
+}  // namespace
+
+// Asks first whether an election could be won, so that a member which was
+// cut off doesn't disturb the leader with a higher term.
+void StartPreVote(RaftState& state, Millis now, RaftOutput& output) {
+  state.m_role = RaftRole::kPreCandidate;
+  state.m_leader.clear();
+  state.m_votes = {state.m_instance};
+  if (state.m_votes.size() >= Majority(state)) {
+    StartElection(state, now, output);
+    return;
+  }
+  SendVoteRequests(state, true, output);
+}
+
+void BecomeLeader(RaftState& state, Millis now, RaftOutput& output) {
+  state.m_role = RaftRole::kLeader;
+  state.m_leader = state.m_instance;
+  state.m_peers.clear();
+  state.m_round_times.clear();
+  state.m_leader_since = now;
+  for (const GroupMember& member : state.m_config.m_config.m_members) {
+    state.m_peers[member.m_instance].m_next = LastIndex(state.m_log) + 1;
+  }
+  LogEntry noop;
+  noop.m_index = LastIndex(state.m_log) + 1;
+  noop.m_term = state.m_hard.m_term;
+  state.m_term_start = noop.m_index;
+  AppendEntry(state, std::move(noop), output);
+  (void)StartRound(state, now, output);
+  state.m_next_heartbeat = now + kRaftHeartbeat;
+  AdvanceCommit(state, output);
+}
+
+namespace {
+
+bool IsLogCurrent(const RaftState& state, const VoteRequest& request) {
+  const std::uint64_t term = LastTerm(state.m_log);
+  return request.m_last_term > term ||
+         (request.m_last_term == term &&
+          request.m_last_index >= LastIndex(state.m_log));
+}
+
+bool HasLiveLeader(const RaftState& state, Millis now) {
+  return state.m_role == RaftRole::kLeader ||
+         now - state.m_leader_heard < kElectionTimeoutMin;
+}
+
+}  // namespace
+
+void Receive(RaftState& state,
+             const VoteRequest& request,
+             double random,
+             Millis now,
+             RaftOutput& output) {
+  const std::string& candidate = request.m_stamp.m_from_instance;
+  VoteReply reply;
+  reply.m_pre_vote = request.m_pre_vote;
+  if (request.m_pre_vote) {
+    reply.m_granted = IsLogCurrent(state, request) &&
+                      !HasLiveLeader(state, now) &&
+                      request.m_stamp.m_term >= state.m_hard.m_term;
+  } else {
+    const bool free_vote = state.m_hard.m_voted_for.empty() ||
+                           state.m_hard.m_voted_for == candidate;
+    reply.m_granted = request.m_stamp.m_term == state.m_hard.m_term &&
+                      state.m_role == RaftRole::kFollower && free_vote &&
+                      IsLogCurrent(state, request);
+    if (reply.m_granted) {
+      state.m_hard.m_voted_for = candidate;
+      WriteHardState(state, output);
+      ResetElectionTimer(state, random, now);
+    }
+  }
+  SendTo(state, candidate, reply, output);
+}
+
+void Receive(RaftState& state,
+             const VoteReply& reply,
+             double,
+             Millis now,
+             RaftOutput& output) {
+  const RaftRole expected =
+      reply.m_pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
+  const std::string& voter = reply.m_stamp.m_from_instance;
+  if (state.m_role != expected || !reply.m_granted || !IsVoter(state, voter) ||
+      (!reply.m_pre_vote && reply.m_stamp.m_term != state.m_hard.m_term)) {
+    return;
+  }
+  state.m_votes.insert(voter);
+  if (state.m_votes.size() < Majority(state)) {
+    return;
+  }
+  if (reply.m_pre_vote) {
+    StartElection(state, now, output);
+  } else {
+    BecomeLeader(state, now, output);
+  }
+}
+
+}  // namespace hemlockpoint::internal
--- /dev/null
+++ b/src/hemlockpoint/consensus/raft_replication.cc
@@ -0,0 +1,276 @@
+// Entries, snapshots and commitment.
+
+#include "hemlockpoint/consensus/raft_internal.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "hemlockpoint/wire/fields_codec.h"
+
+namespace hemlockpoint::internal {
+
+namespace {
+
+constexpr Millis kSnapshotResendAfter(2000);
+
+}  // namespace
+
+// Entries of former terms are committed only together with one of this term.
+void AdvanceCommit(RaftState& state, RaftOutput& output) {
+  std::vector<std::uint64_t> matches;
+  for (const GroupMember& member : state.m_config.m_config.m_members) {
+    if (!member.m_voter) {
+      continue;
+    }
+    const bool self = member.m_instance == state.m_instance;
+    matches.push_back(self ? LastIndex(state.m_log)
+                           : state.m_peers[member.m_instance].m_match);
+  }
+  if (matches.empty()) {
+    return;
+  }
+  std::sort(matches.rbegin(), matches.rend());
+  const std::uint64_t agreed = matches[matches.size() / 2];
+  if (agreed > state.m_commit &&
+      TermAt(state.m_log, agreed) == state.m_hard.m_term) {
+    TakeCommitted(state, agreed, output);
+  }
+}
+
+namespace {
+
+void SendSnapshot(RaftState& state,
+                  const std::string& instance,
+                  RaftPeer& peer,
+                  Millis now,
+                  RaftOutput& output) {
+  if (peer.m_snapshot_sent &&
+      now - peer.m_snapshot_time < kSnapshotResendAfter) {
+    return;
+  }
+  peer.m_snapshot_sent = true;
+  peer.m_snapshot_time = now;
+  const RaftSnapshot& snapshot = state.m_log.m_snapshot;
+  SnapshotRequest request;
+  request.m_index = snapshot.m_index;
+  request.m_index_term = snapshot.m_term;
+  request.m_config = snapshot.m_config;
+  request.m_data.m_data = snapshot.m_data;
+  request.m_round = state.m_round;
+  SendTo(state, instance, std::move(request), output);
+}
+
+void SendAppend(RaftState& state,
+                const std::string& instance,
+                Millis now,
+                RaftOutput& output) {
+  RaftPeer& peer = state.m_peers[instance];
+  const std::uint64_t previous = peer.m_next - 1;
+  const auto previous_term = TermAt(state.m_log, previous);
+  if (!previous_term) {
+    SendSnapshot(state, instance, peer, now, output);
+    return;
+  }
+  AppendRequest request;
+  request.m_previous_index = previous;
+  request.m_previous_term = *previous_term;
+  request.m_commit = state.m_commit;
+  request.m_round = state.m_round;
+  std::size_t bytes = 0;
+  for (std::uint64_t i = peer.m_next; i <= LastIndex(state.m_log); ++i) {
+    const LogEntry* entry = EntryAt(state.m_log, i);
+    bytes += entry->m_data.m_data.size();
+    const bool full = request.m_entries.size() >= kMaxAppendEntries ||
+                      (bytes > kMaxAppendBytes && !request.m_entries.empty());
+    if (full) {
+      break;
+    }
+    request.m_entries.push_back(*entry);
+  }
+  // What was sent counts as received until the member says otherwise; the
+  // next heartbeat starts again from what it has confirmed.
+  peer.m_next += request.m_entries.size();
+  SendTo(state, instance, std::move(request), output);
+}
+
+}  // namespace
+
+void SendToAll(RaftState& state, Millis now, RaftOutput& output) {
+  for (const GroupMember& member : state.m_config.m_config.m_members) {
+    if (member.m_instance != state.m_instance) {
+      SendAppend(state, member.m_instance, now, output);
+    }
+  }
+}
+
+namespace {
+
+void ReplyToAppend(const RaftState& state,
+                   const RaftStamp& stamp,
+                   bool success,
+                   std::uint64_t match,
+                   std::uint64_t round,
+                   RaftOutput& output) {
+  AppendReply reply;
+  reply.m_success = success;
+  reply.m_match = match;
+  reply.m_round = round;
+  SendTo(state, stamp.m_from_instance, reply, output);
+}
+
+// Follows the sender, which leads this term.
+bool FollowLeader(RaftState& state,
+                  const RaftStamp& stamp,
+                  double random,
+                  Millis now,
+                  RaftOutput& output) {
+  if (stamp.m_term < state.m_hard.m_term) {
+    return false;
+  }
+  BecomeFollower(state, stamp.m_term, random, now, output);
+  state.m_leader = stamp.m_from_instance;
+  state.m_leader_heard = now;
+  return true;
+}
+
+void StoreEntries(RaftState& state,
+                  const std::vector<LogEntry>& entries,
+                  RaftOutput& output) {
+  for (const LogEntry& entry : entries) {
+    if (entry.m_index <= state.m_log.m_snapshot.m_index) {
+      continue;
+    }
+    const auto term = TermAt(state.m_log, entry.m_index);
+    if (term == entry.m_term) {
+      continue;
+    }
+    if (term) {
+      TruncateFrom(state.m_log, entry.m_index);
+      output.m_writes.emplace_back(TruncateWrite{entry.m_index});
+      state.m_config = FindConfig(state.m_log);
+    }
+    AppendEntry(state, entry, output);
+  }
+}
+
+}  // namespace
+
+void Receive(RaftState& state,
+             const AppendRequest& request,
+             double random,
+             Millis now,
+             RaftOutput& output) {
+  if (!FollowLeader(state, request.m_stamp, random, now, output)) {
+    ReplyToAppend(state, request.m_stamp, false, 0, 0, output);
+    return;
+  }
+  const std::uint64_t previous = request.m_previous_index;
+  const bool covered = previous < state.m_log.m_snapshot.m_index;
+  const auto term = TermAt(state.m_log, previous);
+  if (!covered && term != request.m_previous_term) {
+    const std::uint64_t hint =
+        std::min(previous == 0 ? 0 : previous - 1, LastIndex(state.m_log));
+    ReplyToAppend(state, request.m_stamp, false, hint, request.m_round, output);
+    return;
+  }
+  StoreEntries(state, request.m_entries, output);
+  const std::uint64_t match = std::max(state.m_log.m_snapshot.m_index,
+                                       previous + request.m_entries.size());
+  TakeCommitted(state, std::min(request.m_commit, match), output);
+  ReplyToAppend(state, request.m_stamp, true, match, request.m_round, output);
+}
+
+void Receive(RaftState& state,
+             const SnapshotRequest& request,
+             double random,
+             Millis now,
+             RaftOutput& output) {
+  if (!FollowLeader(state, request.m_stamp, random, now, output)) {
+    ReplyToAppend(state, request.m_stamp, false, 0, 0, output);
+    return;
+  }
+  if (request.m_index > state.m_commit) {
+    RaftSnapshot snapshot;
+    snapshot.m_index = request.m_index;
+    snapshot.m_term = request.m_index_term;
+    snapshot.m_config = request.m_config;
+    snapshot.m_data = request.m_data.m_data;
+    output.m_writes.emplace_back(snapshot);
+    output.m_restore = snapshot;
+    output.m_committed.clear();
+    PutSnapshot(state.m_log, std::move(snapshot));
+    state.m_config = FindConfig(state.m_log);
+    state.m_commit = request.m_index;
+    state.m_applied = request.m_index;
+  }
+  ReplyToAppend(state, request.m_stamp, true, request.m_index, request.m_round,
+                output);
+}
+
+namespace {
+
+void RecordAck(RaftState& state, RaftPeer& peer, std::uint64_t round) {
+  if (round <= peer.m_acked_round) {
+    return;
+  }
+  peer.m_acked_round = round;
+  const auto sent = state.m_round_times.find(round);
+  if (sent != state.m_round_times.end()) {
+    peer.m_acked_sent = sent->second;
+  }
+}
+
+// A learner that has caught up starts to count in majorities.
+void PromoteLearner(RaftState& state,
+                    const std::string& instance,
+                    const RaftPeer& peer,
+                    Millis now,
+                    RaftOutput& output) {
+  GroupConfig config = state.m_config.m_config;
+  for (GroupMember& member : config.m_members) {
+    const bool caught_up = member.m_instance == instance && !member.m_voter &&
+                           peer.m_match >= state.m_commit;
+    if (caught_up) {
+      member.m_voter = true;
+      (void)Propose(state, EntryKind::kConfig, EncodeFields(config), now,
+                    output);
+      return;
+    }
+  }
+}
+
+}  // namespace
+
+void Receive(RaftState& state,
+             const AppendReply& reply,
+             double,
+             Millis now,
+             RaftOutput& output) {
+  if (state.m_role != RaftRole::kLeader ||
+      reply.m_stamp.m_term != state.m_hard.m_term) {
+    return;
+  }
+  const std::string& instance = reply.m_stamp.m_from_instance;
+  RaftPeer& peer = state.m_peers[instance];
+  RecordAck(state, peer, reply.m_round);
+  if (!reply.m_success) {
+    peer.m_next =
+        std::max<std::uint64_t>(1, std::min(peer.m_next, reply.m_match + 1));
+    SendAppend(state, instance, now, output);
+    return;
+  }
+  peer.m_snapshot_sent = false;
+  peer.m_match = std::max(peer.m_match, reply.m_match);
+  peer.m_next = std::max(peer.m_next, peer.m_match + 1);
+  const std::uint64_t before = state.m_commit;
+  AdvanceCommit(state, output);
+  PromoteLearner(state, instance, peer, now, output);
+  if (state.m_commit > before) {
+    SendToAll(state, now, output);
+  } else if (peer.m_next <= LastIndex(state.m_log)) {
+    SendAppend(state, instance, now, output);
+  }
+}
+
+}  // namespace hemlockpoint::internal
--- /dev/null
+++ b/src/hemlockpoint/node/entry_attempts.cc
@@ -0,0 +1,327 @@
+// The attempts of a call at its targets, one after another.
+
+#include <algorithm>
+#include <utility>
+
+#include "hemlockpoint/node/entry_progress.h"
+#include "hemlockpoint/node/entry_service.h"
+#include "hemlockpoint/retry/next_step.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr Millis kLinkTimeout(300);
+constexpr Millis kNoTargetRetryAfter(500);
+
+}  // namespace
+
+CallBudget& EntryService::BudgetOf(Progress& progress) {
+  const auto parent = m_core.m_records.find(progress.m_call.m_request.m_parent);
+  return parent == m_core.m_records.end() ? progress.m_own_budget
+                                          : parent->second.m_budget;
+}
+
+std::optional<Refusal> EntryService::Send(Progress& progress) {
+  EntryCall& call = progress.m_call;
+  const auto parent = m_core.m_records.find(call.m_request.m_parent);
+  if (parent != m_core.m_records.end()) {
+    progress.m_parent_record = parent->first;
+    progress.m_child_number = ++parent->second.m_last_child;
+    parent->second.m_cancel_children[progress.m_child_number] = [&progress] {
+      progress.m_caller_gone = true;
+      if (progress.m_outbound.m_state) {
+        progress.m_outbound.m_state->Cancel();
+      }
+    };
+  }
+  std::optional<Refusal> last;
+  while (true) {
+    const auto node = NextTarget(progress);
+    if (!node) {
+      Refusal none = RefuseBySignal(Reason::kNoTarget, {"targets", 0, 1});
+      none.m_retry_after = kNoTargetRetryAfter;
+      return last ? last : none;
+    }
+    if (!progress.m_grant && !Charge(progress)) {
+      return last ? last
+                  : RefuseByRule(Reason::kRetryBudget,
+                                 call.m_verdict.m_repetition_rule);
+    }
+    const Millis sent = SteadyNow();
+    progress.m_answer.reset();
+    last = TryTarget(progress, *node);
+    RecordAttempt(progress, *node, last, sent);
+    if (!last || progress.m_caller_gone) {
+      return std::nullopt;
+    }
+    progress.m_any_unknown |= last->m_execution == Execution::kUnknown;
+    if (!PlanNextAttempt(progress, *node, *last)) {
+      return last;
+    }
+  }
+}
+
+std::optional<NodeId> EntryService::NextTarget(Progress& progress) {
+  if (progress.m_redirect) {
+    return std::exchange(progress.m_redirect, std::nullopt);
+  }
+  const Balancer& balancer =
+      m_core.m_entry.m_services[progress.m_call.m_request.m_service];
+  return ChooseTarget(balancer, progress.m_tried, m_core.m_settings.m_region,
+                      {m_core.Random(), m_core.Random()}, SteadyNow());
+}
+
+// Charges an attempt to the budget of the root request.
+bool EntryService::Charge(Progress& progress) {
+  const EntryCall& call = progress.m_call;
+  progress.m_grant =
+      ChargeChild(BudgetOf(progress),
+                  m_core.m_entry.m_retry_buckets[call.m_request.m_service],
+                  call.m_fingerprint, call.m_verdict.m_ratio_per_hop);
+  if (!progress.m_grant && m_core.m_entry.m_pass_through) {
+    progress.m_grant = ChildGrant();
+  }
+  return progress.m_grant.has_value();
+}
+
+// Decides whether the call goes on after an attempt without an answer, and
+// prepares the next one.
+bool EntryService::PlanNextAttempt(Progress& progress,
+                                   const NodeId& node,
+                                   const Refusal& refusal) {
+  const EntryCall& call = progress.m_call;
+  progress.m_tried.push_back(node);
+  const AttemptEnd end{call.m_verdict.m_idempotent, !progress.m_body_taken,
+                       SteadyNow() < call.m_deadline, progress.m_reroutes};
+  NextStep step = m_core.m_entry.m_pass_through ? NextStep::kGiveUp
+                                                : DecideNextStep(refusal, end);
+  if (progress.m_answer && !progress.m_answer->m_redirect.empty()) {
+    step = FollowRedirect(progress, end);
+  }
+  if (step == NextStep::kGiveUp) {
+    return false;
+  }
+  const bool reroute = step == NextStep::kReroute;
+  Note(progress, node, refusal, reroute ? "rerouted" : "retried");
+  if (!reroute) {
+    progress.m_grant.reset();
+    ++m_core.m_counters.m_retries;
+    return true;
+  }
+  ++progress.m_reroutes;
+  ++m_core.m_counters.m_reroutes;
+  CallBudget& budget = BudgetOf(progress);
+  if (!progress.m_answer) {
+    SettleChild(budget, *progress.m_grant, 0);
+  }
+  progress.m_grant = RegrantChild(budget, *progress.m_grant);
+  return true;
+}
+
+// A resend goes to the node that runs the first call with its key.
+NextStep EntryService::FollowRedirect(Progress& progress,
+                                      const AttemptEnd& end) {
+  const NodeId& holder = progress.m_answer->m_redirect;
+  const bool tried = std::find(progress.m_tried.begin(), progress.m_tried.end(),
+                               holder) != progress.m_tried.end();
+  const bool possible = !tried && end.m_replayable && end.m_time_left &&
+                        end.m_reroutes < kMaxReroutes;
+  if (!possible) {
+    return NextStep::kGiveUp;
+  }
+  progress.m_redirect = holder;
+  return NextStep::kReroute;
+}
+
+CallStart EntryService::MakeStart(const Progress& progress) const {
+  const EntryCall& call = progress.m_call;
+  CallStart start;
+  CallTerms& terms = start.m_terms;
+  terms.m_root = call.m_root;
+  terms.m_caller = call.m_caller;
+  terms.m_class = call.m_class;
+  terms.m_depth = call.m_depth;
+  terms.m_extra_attempts = progress.m_grant->m_extra_attempts;
+  terms.m_repeat = progress.m_grant->m_repeat;
+  terms.m_idempotent = call.m_verdict.m_idempotent;
+  terms.m_long = call.m_verdict.m_long;
+  terms.m_suspect = call.m_suspect;
+  terms.m_key = call.m_request.m_key;
+  terms.m_fingerprint = call.m_fingerprint;
+  terms.m_time_left = call.m_deadline - SteadyNow();
+  terms.m_revision = call.m_policy->m_revision;
+  start.m_request.m_service = call.m_request.m_service;
+  start.m_request.m_method = call.m_request.m_method;
+  start.m_request.m_path = call.m_request.m_path;
+  start.m_request.m_headers = call.m_request.m_headers;
+  start.m_request.m_content_length = call.m_request.m_content_length;
+  start.m_body.m_data = progress.m_body;
+  start.m_complete = progress.m_body_complete;
+  return start;
+}
+
+Result<OutboundCall> EntryService::Open(Progress& progress,
+                                        const NodeId& node) {
+  using CallResult = Result<OutboundCall>;
+  if (node == m_core.m_settings.m_node) {
+    LocalCall local = MakeLocalCall(MakeStart(progress));
+    m_core.m_loop.Spawn([this, inbound = std::make_shared<InboundCall>(
+                                   std::move(local.m_inbound))] {
+      m_gate.Serve(std::move(*inbound));
+    });
+    return std::move(local.m_outbound);
+  }
+  const auto member = m_core.m_members.find(node);
+  if (member == m_core.m_members.end()) {
+    return CallResult::Failure("the target's node is no longer a member");
+  }
+  const Result<Endpoint> endpoint = ParseEndpoint(member->second.m_peer);
+  if (!endpoint) {
+    return CallResult::Failure(endpoint.reason());
+  }
+  const Millis until =
+      Min(progress.m_call.m_deadline, SteadyNow() + kLinkTimeout);
+  const Result<LinkId> link = m_core.m_links->LinkTo(*endpoint, until);
+  if (!link) {
+    return CallResult::Failure(link.reason());
+  }
+  return m_core.m_links->StartCall(*link, MakeStart(progress));
+}
+
+std::optional<Refusal> EntryService::TryTarget(Progress& progress,
+                                               const NodeId& node) {
+  Balancer& balancer =
+      m_core.m_entry.m_services[progress.m_call.m_request.m_service];
+  RecordSent(balancer, node);
+  ++progress.m_attempts;
+  Result<OutboundCall> opened = Open(progress, node);
+  if (!opened) {
+    return RefuseBySignal(Reason::kTargetUnreachable, {"link", 0, 1});
+  }
+  progress.m_outbound = std::move(*opened);
+  if (!progress.m_watching && progress.m_body_complete) {
+    progress.m_watching = true;
+    progress.m_exchange.WatchCaller([&progress] {
+      progress.m_caller_gone = true;
+      progress.m_outbound.m_state->Cancel();
+    });
+  }
+  return AwaitAnswer(progress, node);
+}
+
+std::optional<Refusal> EntryService::AwaitAnswer(Progress& progress,
+                                                 const NodeId& node) {
+  EntryCall& call = progress.m_call;
+  CallState& state = *progress.m_outbound.m_state;
+  if (!progress.m_body_complete) {
+    const bool settled = state.m_changed.WaitUntil(call.m_deadline, [&state] {
+      return state.m_answer || state.m_lost || state.m_cancelled ||
+             state.m_body_wanted;
+    });
+    if (settled && state.m_body_wanted && !state.m_answer) {
+      StartBodyPump(progress);
+    }
+  }
+  progress.m_answer = progress.m_outbound.AwaitAnswer(call.m_deadline);
+  if (progress.m_answer) {
+    RecordLoad(m_core.m_entry.m_services[call.m_request.m_service], node,
+               progress.m_answer->m_load, SteadyNow());
+    RecordThreshold(m_core.m_entry.m_thresholds, call.m_kind, node,
+                    progress.m_answer->m_load.m_threshold, SteadyNow());
+    SettleChild(BudgetOf(progress), *progress.m_grant,
+                progress.m_answer->m_spent);
+    return progress.m_answer->m_refusal;
+  }
+  if (progress.m_caller_gone) {
+    progress.m_outbound.m_sender->Cancel("the caller is gone");
+    return EndedUnknown(Reason::kCancelled, {"caller_gone", 1, 0});
+  }
+  if (progress.m_exchange.body_too_large()) {
+    progress.m_outbound.m_sender->Cancel("the body is too large");
+    const auto bound =
+        static_cast<double>(m_core.m_settings.m_limits.m_body_bytes);
+    return EndedUnknown(Reason::kBodyTooLarge, {"body_bytes", bound, bound});
+  }
+  if (state.m_lost) {
+    return EndedUnknown(Reason::kNodeLost, {"link_lost", 1, 0});
+  }
+  progress.m_outbound.m_sender->Cancel("the deadline has passed");
+  const Millis over = SteadyNow() - call.m_deadline;
+  return EndedUnknown(Reason::kDeadlinePassed,
+                      {"ms_past_deadline", over.value(), 0});
+}
+
+void EntryService::StartBodyPump(Progress& progress) {
+  progress.m_body_taken = true;
+  progress.m_pump_running = true;
+  m_core.m_loop.Spawn([&progress] {
+    bool more = true;
+    while (more) {
+      auto bytes = progress.m_exchange.ReadBody();
+      if (!bytes) {
+        progress.m_caller_gone = !progress.m_exchange.body_too_large();
+        progress.m_outbound.m_state->Cancel();
+        break;
+      }
+      const bool complete = bytes->empty();
+      more =
+          progress.m_outbound.m_sender->SendBody(std::move(*bytes), complete) &&
+          !complete;
+    }
+    progress.m_pump_running = false;
+    progress.m_pump_ended.Notify();
+  });
+}
+
+// The pump may wait for a caller that sends slowly, or not at all.
+void EntryService::StopBodyPump(Progress& progress) {
+  if (!progress.m_pump_running) {
+    return;
+  }
+  progress.m_outbound.m_state->m_request_credit.Close();
+  progress.m_exchange.Abort();
+  progress.m_pump_ended.Wait([&progress] { return !progress.m_pump_running; });
+}
+
+void EntryService::RecordAttempt(Progress& progress,
+                                 const NodeId& node,
+                                 const std::optional<Refusal>& refusal,
+                                 Millis sent) {
+  const EntryCall& call = progress.m_call;
+  const Millis now = SteadyNow();
+  SendEnd end = SendEnd::kAnswered;
+  if (progress.m_caller_gone) {
+    end = SendEnd::kCancelled;
+  } else if (refusal) {
+    const bool unreachable = refusal->m_reason == Reason::kTargetUnreachable;
+    const bool failed = refusal->m_execution == Execution::kUnknown &&
+                        refusal->m_reason != Reason::kBodyTooLarge;
+    end = unreachable || failed ? SendEnd::kFailed : SendEnd::kRefused;
+  }
+  RecordEnd(m_core.m_entry.m_services[call.m_request.m_service], node, end,
+            call.m_kind, now - sent, now);
+  if (end != SendEnd::kCancelled) {
+    CountForThrottle(call, refusal, now);
+  }
+}
+
+void EntryService::CountForThrottle(const EntryCall& call,
+                                    const std::optional<Refusal>& refusal,
+                                    Millis now) {
+  const bool leaving =
+      refusal && (refusal->m_reason == Reason::kTargetLeaving ||
+                  refusal->m_reason == Reason::kNodeLeaving);
+  if (leaving) {
+    return;
+  }
+  ThrottleState& throttle =
+      m_core.m_entry.m_throttles[call.m_request.m_service];
+  RecordThrottleRequest(throttle, now);
+  // A shed call says that the service is alive; its threshold is told anyway.
+  if (!refusal || refusal->m_reason == Reason::kShed) {
+    RecordThrottleAccept(throttle, now);
+  }
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/node/entry_progress.h
@@ -0,0 +1,42 @@
+#ifndef HEMLOCKPOINT_NODE_ENTRY_PROGRESS_H_
+#define HEMLOCKPOINT_NODE_ENTRY_PROGRESS_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "hemlockpoint/node/entry_service.h"
+
+namespace hemlockpoint {
+
+/// @brief One call on its way through the entry, over all its attempts.
+struct EntryService::Progress {
+  explicit Progress(HttpExchange& exchange) : m_exchange(exchange) {}
+
+  HttpExchange& m_exchange;
+  EntryCall m_call;
+  std::string m_body;
+  bool m_body_complete = true;
+
+  CallBudget m_own_budget;
+  std::string m_parent_record;
+  std::uint64_t m_child_number = 0;
+
+  std::vector<NodeId> m_tried;
+  std::optional<NodeId> m_redirect;
+  std::size_t m_reroutes = 0;
+  std::size_t m_attempts = 0;
+  std::optional<ChildGrant> m_grant;
+  OutboundCall m_outbound;
+  std::optional<AnswerStart> m_answer;
+  bool m_watching = false;
+  bool m_caller_gone = false;
+  bool m_any_unknown = false;
+  bool m_pump_running = false;
+  bool m_body_taken = false;
+  FiberEvent m_pump_ended;
+};
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_NODE_ENTRY_PROGRESS_H_
--- a/src/hemlockpoint/policy/store.cc
+++ b/src/hemlockpoint/policy/store.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "hemlockpoint/wire/fields_codec.h"
+#include "hemlockpoint/wire/policy_messages.h"
 
 namespace hemlockpoint {
 
@@ -42,23 +43,10 @@
   }
 };
 
-struct StoredSection {
-  std::string m_name;
-  Revision m_revision;
-  std::string m_text;
-
-  template <typename Self, typename Visitor>
-  static void Visit(Self& self, Visitor& visit) {
-    visit("name", self.m_name);
-    visit("rev", self.m_revision);
-    visit("text", self.m_text);
-  }
-};
-
 struct StoredPolicy {
   Revision m_revision;
   std::string m_admin;
-  std::vector<StoredSection> m_sections;
+  std::vector<SectionUpdate> m_sections;
   std::vector<HistoryEntry> m_history;
   std::vector<StoredResult> m_results;
 
@@ -234,7 +222,7 @@
   PolicyStore store;
   store.m_document.m_revision = stored->m_revision;
   store.m_admin_token_sha256 = stored->m_admin;
-  for (const StoredSection& section : stored->m_sections) {
+  for (const SectionUpdate& section : stored->m_sections) {
     store.m_document.m_sections[section.m_name] = {section.m_revision,
                                                    section.m_text};
   }
--- a/test/hemlockpoint/admission/admission_test.cc
+++ b/test/hemlockpoint/admission/admission_test.cc
@@ -67,6 +67,21 @@
   EXPECT_EQ(step.m_run[0], CallId(100));
 }
 
+// Long work that waited for its share once made short calls be shed.
+TEST(Admission, WaitingLongWorkShedsNothing) {
+  AdmissionState state = MakeState(10);
+  for (std::uint64_t i = 0; i < 20; ++i) {
+    OfferedCall call = MakeCall(i, 1e9);
+    call.m_long = true;
+    EXPECT_TRUE(Offer(state, call, Millis(0)).empty());
+  }
+  for (int i = 1; i < 50; ++i) {
+    (void)Dispatch(state, Millis(i * 50.0));
+    EXPECT_TRUE(AdvanceAdmission(state, Millis(i * 50.0)).empty());
+  }
+  EXPECT_EQ(state.m_shed.m_threshold, kNoShedding);
+}
+
 TEST(Admission, SuspectsRunOneAtATime) {
   AdmissionState state = MakeState(10);
   for (std::uint64_t i = 0; i < 3; ++i) {
