Let the throughput estimate fall slowly

Cause: at twice capacity the deepest service was 16 % idle. The estimate of its throughput followed each window in which less had been let in, which let in less again. Conclusion: 0.1 stays.

--- a/src/hemlockpoint/admission/shed.cc
+++ b/src/hemlockpoint/admission/shed.cc
@@ -12,7 +12,7 @@
 // The estimate of what the target can do rises quickly, so that the start of
 // a surge isn't judged by the quiet time before, and falls slowly.
 constexpr double kThroughputRise = 0.7;
-constexpr double kThroughputFall = 0.3;
+constexpr double kThroughputFall = 0.1;
 // Under overload slightly less is let in than gets finished, so that the
 // queue drains.
 constexpr double kOverloadShare = 0.97;
