--- a/bench/load/main.cc
+++ b/bench/load/main.cc
@@ -49,6 +49,8 @@
 
 }  // namespace
 
+// An exception that gets here ends the process, as it should.
+// NOLINTNEXTLINE(bugprone-exception-escape)
 int main(int argc, char** argv) {
   std::uint64_t seed = 1;
   bool as_json = false;
--- a/bench/peers/main.cc
+++ b/bench/peers/main.cc
@@ -140,6 +140,8 @@
 
 }  // namespace
 
+// An exception that gets here ends the process, as it should.
+// NOLINTNEXTLINE(bugprone-exception-escape)
 int main(int argc, char** argv) {
   Options options;
   po::options_description description("hemlockpeers [options]");
--- a/src/hemlockctl/main.cc
+++ b/src/hemlockctl/main.cc
@@ -106,6 +106,8 @@
 
 }  // namespace
 
+// An exception that gets here ends the process, as it should.
+// NOLINTNEXTLINE(bugprone-exception-escape)
 int main(int argc, char** argv) {
   po::options_description all = Describe();
   all.add_options()("words", po::value<std::vector<std::string>>());
--- a/src/hemlockpoint/node/node.cc
+++ b/src/hemlockpoint/node/node.cc
@@ -261,7 +261,9 @@
   }
 
   void DrainAndStop() {
-    LogLine(LogLevel::kInfo, "draining");
+    LogLine(LogLevel::kInfo, "draining")
+        .With("calls", static_cast<std::uint64_t>(m_core.m_entry_calls +
+                                                  m_gate.calls()));
     m_core.m_leaving = true;
     m_gate.BeginLeaving();
     m_membership.HeartbeatSoon();
--- a/src/hemlockpoint/peer/peer_hub.cc
+++ b/src/hemlockpoint/peer/peer_hub.cc
@@ -23,6 +23,8 @@
 // One thread drives the hub, so the library's locks are left out.
 template <typename Base>
 struct SingleThreaded : Base {
+  // The library looks these up by name.
+  // NOLINTBEGIN(readability-identifier-naming)
   using concurrency_type = websocketpp::concurrency::none;
   static constexpr std::size_t max_message_size = kMaxMessageBytes;
   static constexpr long timeout_open_handshake = kOpenTimeoutMillis;
@@ -31,6 +33,7 @@
       websocketpp::log::alevel::none;
   static const websocketpp::log::level elog_level =
       websocketpp::log::elevel::none;
+  // NOLINTEND(readability-identifier-naming)
 };
 
 using Server = websocketpp::server<SingleThreaded<websocketpp::config::asio>>;
--- a/src/hemlockpoint/runtime/fiber_loop.cc
+++ b/src/hemlockpoint/runtime/fiber_loop.cc
@@ -47,6 +47,8 @@
     return !m_ready.empty();
   }
 
+  // A handler that throws ends the process, as the interface demands.
+  // NOLINTNEXTLINE(bugprone-exception-escape)
   void suspend_until(
       const std::chrono::steady_clock::time_point& until) noexcept override {
     if (until == std::chrono::steady_clock::time_point::max()) {
--- a/src/hemlockpointd/main.cc
+++ b/src/hemlockpointd/main.cc
@@ -65,12 +65,14 @@
   });
   LogLine(LogLevel::kInfo, "started").With("node", settings.m_node.value());
   loop.Run();
-  LogLine(LogLevel::kInfo, "stopped");
+  LogLine(LogLevel::kInfo, "stopped").With("node", settings.m_node.value());
   return 0;
 }
 
 }  // namespace
 
+// An exception that gets here ends the process, as it should.
+// NOLINTNEXTLINE(bugprone-exception-escape)
 int main(int argc, char** argv) {
   Options options;
   if (const auto exit_code = ReadCommandLine(argc, argv, options)) {
--- a/testing/fake_target/main.cc
+++ b/testing/fake_target/main.cc
@@ -50,6 +50,8 @@
 
 }  // namespace
 
+// An exception that gets here ends the process, as it should.
+// NOLINTNEXTLINE(bugprone-exception-escape)
 int main(int argc, char** argv) {
   FakeTargetOptions options;
   double service_time = 10;
