--- a/bench/decisions/decisions.cc
+++ b/bench/decisions/decisions.cc
@@ -27,7 +27,7 @@
   }
   std::uint64_t oldest = 0;
   (void)Dispatch(state, Millis(0));
-  for (auto _ : run) {
+  while (run.KeepRunning()) {
     FinishCall(state, CallId(++oldest));
     call.m_call = CallId(++id);
     benchmark::DoNotOptimize(Offer(state, call, Millis(1)));
@@ -39,7 +39,7 @@
 void MoveThreshold(benchmark::State& run) {
   ShedState shed;
   double now = 0;
-  for (auto _ : run) {
+  while (run.KeepRunning()) {
     now += 100;
     RecordOffered(shed, 1.5);
     AdvanceShed(shed, Millis(50), true, Millis(now));
@@ -55,7 +55,7 @@
     balancer.m_targets[target.m_node] = target;
   }
   double draw = 0;
-  for (auto _ : run) {
+  while (run.KeepRunning()) {
     draw = draw > 0.9 ? 0 : draw + 0.01;
     benchmark::DoNotOptimize(
         ChooseTarget(balancer, {}, "r", {draw, 0.5}, Millis(1)));
@@ -71,7 +71,7 @@
   call.m_kind = kKind;
   state.m_services[call.m_request.m_service].m_targets[NodeId("t")];
   const std::vector<double> randoms(EntryFilters().size(), 0.5);
-  for (auto _ : run) {
+  while (run.KeepRunning()) {
     benchmark::DoNotOptimize(RunFilters(state, call, randoms, Millis(1)));
   }
 }
@@ -87,7 +87,7 @@
   request.m_service = set.m_service;
   request.m_epoch = 1;
   std::uint64_t number = 0;
-  for (auto _ : run) {
+  while (run.KeepRunning()) {
     request.m_key = "caller orders " + std::to_string(++number % 50'000);
     benchmark::DoNotOptimize(HandleClaim(replica, request, Millis(1)));
   }
@@ -101,7 +101,7 @@
   call.m_request.m_method = "GET";
   call.m_request.m_path = "/count/7";
   call.m_request.m_headers = {{"Host", "stock"}, {"Accept", "*/*"}};
-  for (auto _ : run) {
+  while (run.KeepRunning()) {
     benchmark::DoNotOptimize(DecodeMessage(EncodeMessage(call)));
   }
 }
