--- a/src/hemlockpoint/config/settings.cc
+++ b/src/hemlockpoint/config/settings.cc
@@ -62,6 +62,12 @@
     node->Complain("roles", "expected at least one of node and control");
   }
   settings.m_pass_through = node->Bool("pass_through", false);
+  const std::string mode = node->String("serves", "policy");
+  if (mode == "routes") {
+    settings.m_mode = ServingMode::kRoutes;
+  } else if (mode != "policy") {
+    node->Complain("serves", "expected policy or routes");
+  }
   node->FinishKeys();
 }
 
@@ -76,15 +82,71 @@
   if (settings.m_is_node) {
     settings.m_http = ReadEndpoint(*listen, "http");
   }
+  if (settings.m_mode == ServingMode::kRoutes) {
+    settings.m_outside = ReadEndpoint(*listen, "outside");
+    if (settings.m_is_node) {
+      settings.m_ready = ReadEndpoint(*listen, "ready");
+    }
+  }
   listen->FinishKeys();
 }
 
+void ReadTarget(TomlReader& document, Settings& settings) {
+  std::optional<TomlReader> target = document.Table("target");
+  if (!target) {
+    if (settings.m_is_node && settings.m_mode == ServingMode::kRoutes) {
+      document.Complain("target", "missing table");
+    }
+    return;
+  }
+  settings.m_target.m_endpoint = ReadEndpoint(*target, "endpoint");
+  settings.m_target.m_service = ServiceName(ReadName(*target, "service"));
+  target->FinishKeys();
+}
+
+void ReadRepeats(TomlReader& document, Settings& settings) {
+  std::optional<TomlReader> repeats = document.Table("repeats");
+  if (!repeats) {
+    return;
+  }
+  RepeatBounds& bounds = settings.m_repeats;
+  bounds.m_ratio = repeats->Number("ratio", {0, 10}, bounds.m_ratio);
+  bounds.m_window = Millis(
+      repeats->Number("window_s", {0.1, 3600}, bounds.m_window.value() / 1000) *
+      1000);
+  bounds.m_slack = repeats->Number("slack", {0, 1e6}, bounds.m_slack);
+  repeats->FinishKeys();
+}
+
+// A seed is named by any of its listeners; the peer port is the same on all
+// hosts.
+void ReadSeeds(TomlReader& control, Settings& settings) {
+  for (const std::string& text : control.Strings("seeds")) {
+    const Result<Endpoint> seed = ParseEndpoint(text);
+    if (seed) {
+      settings.m_seeds.push_back({seed->m_address, settings.m_peer.m_port});
+    } else {
+      control.Complain("seeds", seed.reason());
+    }
+  }
+  settings.m_form_group = control.Bool("form_group", false);
+  settings.m_losses_borne = control.Integer("losses_borne", {0, 3}, 1);
+  if (settings.m_is_control) {
+    settings.m_data_folder = control.String("data_folder");
+  }
+  control.FinishKeys();
+}
+
 void ReadControl(TomlReader& document, Settings& settings) {
   std::optional<TomlReader> control = document.Table("control");
   if (!control) {
     document.Complain("control", "missing table");
     return;
   }
+  if (settings.m_mode == ServingMode::kRoutes) {
+    ReadSeeds(*control, settings);
+    return;
+  }
   for (TomlReader& host : control->Tables("hosts")) {
     ControlHost entry;
     entry.m_node = NodeId(ReadName(host, "name"));
@@ -126,6 +188,8 @@
       Millis(limits->Number("default_deadline_ms", {1, 3.6e6}, 10'000));
   caller.m_longest_deadline =
       Millis(limits->Number("longest_deadline_ms", {1, 3.6e6}, 300'000));
+  settings.m_body_memory = static_cast<std::size_t>(
+      limits->Number("body_memory_mib", {1, 65536}, 64) * kMebibyte);
   settings.m_queue_entries = limits->Integer("queue_entries", {1, 65536}, 1024);
   settings.m_drain_timeout =
       Millis(limits->Number("drain_timeout_ms", {0, 3.6e6}, 60'000));
@@ -163,6 +227,8 @@
   TomlReader document(*table, "", source, findings);
   ReadNode(document, settings);
   ReadListen(document, settings);
+  ReadTarget(document, settings);
+  ReadRepeats(document, settings);
   ReadControl(document, settings);
   ReadLimits(document, settings);
   ReadLog(document, settings);
--- a/src/hemlockpoint/config/settings.h
+++ b/src/hemlockpoint/config/settings.h
@@ -34,6 +34,29 @@
   Millis m_longest_deadline{300'000};
 };
 
+/// @brief By which kind of document callers' requests are served.
+enum class ServingMode : unsigned char {
+  /// Sections of policy; callers name the service.
+  kPolicy,
+  /// Routes by host and path.
+  kRoutes,
+};
+
+/// @brief The target beside a node, where the settings name it.
+struct TargetPlace {
+  Endpoint m_endpoint;
+  ServiceName m_service;
+};
+
+/// @brief Repeats that all nodes together may cause at one service.
+struct RepeatBounds {
+  /// Repeats for each request in a window.
+  double m_ratio = 0.2;
+  Millis m_window{10'000};
+  /// Repeats in a window whatever the number of requests is.
+  double m_slack = 50;
+};
+
 /// @brief Everything that one process learns from its settings file.
 struct Settings {
   NodeId m_node;
@@ -49,7 +72,24 @@
   /// Where targets announce themselves and hemlockctl asks.
   Endpoint m_admin;
 
+  ServingMode m_mode = ServingMode::kPolicy;
+  /// Route mode: where readiness is asked for.
+  Endpoint m_ready;
+  /// Route mode: where targets announce themselves to a node, and where a
+  /// control host is given route documents.
+  Endpoint m_outside;
+  TargetPlace m_target;
+  RepeatBounds m_repeats;
+  /// Route mode: what a node may hold of bodies at most.
+  std::size_t m_body_memory = std::size_t{64} * 1024 * 1024;
+
   std::vector<ControlHost> m_control_hosts;
+  /// Peer endpoints to ask first for the control group, in place of a list.
+  std::vector<Endpoint> m_seeds;
+  /// The control hosts among the seeds form a new group if they are blank.
+  bool m_form_group = false;
+  /// Control hosts with their disks that may be lost at the same time.
+  std::size_t m_losses_borne = 1;
   std::string m_data_folder;
 
   CallerLimits m_limits;
--- a/src/hemlockpoint/control/control_service.cc
+++ b/src/hemlockpoint/control/control_service.cc
@@ -61,7 +61,8 @@
 
 ControlService::ControlService(const Settings& settings,
                                FiberLoop& loop,
-                               LinkLayer& links)
+                               LinkLayer& links,
+                               DocumentReader reader)
     : m_settings(settings),
       m_loop(loop),
       m_links(links),
@@ -79,18 +80,26 @@
                    ++m_claim_sets_version;
                  }
                },
-               [this] { return EncodeState(m_state); }}) {}
+               [this] { return EncodeState(m_state); }}),
+      m_documents(m_group, m_state, std::move(reader)),
+      m_keeper(settings,
+               loop,
+               links,
+               m_group,
+               [this](const Endpoint& peer) { return QueryInstance(peer); }) {}
 
 std::optional<std::string> ControlService::Start() {
   if (auto error = m_group.Start()) {
     return error;
   }
   m_loop.SpawnPeriodic(kPushPeriod, [this] { Tick(); });
+  if (m_settings.m_mode == ServingMode::kRoutes) {
+    m_keeper.Start();
+  }
   return std::nullopt;
 }
 
-void ControlService::Handle(LinkId link, const Heartbeat& heartbeat) {
-  const Millis now = SteadyNow();
+HeartbeatAck ControlService::MakeAck(Millis now) const {
   HeartbeatAck ack;
   ack.m_leading = m_group.is_leader();
   ack.m_proof_age = Min(ProofAge(m_group.raft(), now), Millis(1e9));
@@ -98,6 +107,28 @@
   if (const GroupMember* leader = m_group.leader()) {
     ack.m_leader = leader->m_peer;
   }
+  return ack;
+}
+
+void ControlService::Handle(LinkId link, const HostBeat& beat) {
+  m_keeper.Handle(beat);
+  m_links.Send(link, MakeAck(SteadyNow()));
+}
+
+void ControlService::Handle(const HeartbeatAck& ack) {
+  m_keeper.Handle(ack);
+}
+
+void ControlService::Handle(LinkId link, const Heartbeat& heartbeat) {
+  const Millis now = SteadyNow();
+  HeartbeatAck ack = MakeAck(now);
+  // The hosts are told once to each node that a leader hears of, and to
+  // those that are still looking for it.
+  if (!ack.m_leading || m_nodes.count(link) == 0) {
+    for (const auto& member : m_group.raft().m_config.m_config.m_members) {
+      ack.m_hosts.push_back(member.m_peer);
+    }
+  }
   m_links.Send(link, ack);
   if (!ack.m_leading) {
     return;
@@ -107,6 +138,7 @@
   Node& node = m_nodes[link];
   node.m_name = heartbeat.m_member.m_node;
   node.m_revision = heartbeat.m_member.m_revision;
+  node.m_document = heartbeat.m_member.m_document;
   UpdateInterests(node.m_subscriber, m_directory, heartbeat);
   if (is_new && !m_quarantine.m_entries.empty()) {
     SuspectReport report;
@@ -118,6 +150,7 @@
   PushDirectory(link, node, now);
   PushPolicy(link, node, now);
   PushClaimSets(link, node);
+  PushDocument(link, node, now);
 }
 
 void ControlService::Handle(LinkId, const GroupInit& init) {
@@ -137,8 +170,11 @@
   InstanceQuery reply;
   reply.m_is_reply = true;
   reply.m_instance = m_group.raft().m_instance;
-  reply.m_admin = ToText(m_settings.m_admin);
+  reply.m_admin = ToText(m_settings.m_mode == ServingMode::kRoutes
+                             ? m_settings.m_outside
+                             : m_settings.m_admin);
   reply.m_group_id = m_group.raft().m_config.m_config.m_group_id;
+  reply.m_node = m_settings.m_node;
   m_links.Send(link, reply);
 }
 
@@ -177,6 +213,11 @@
     PushDirectory(link, node, now);
     PushPolicy(link, node, now);
     PushClaimSets(link, node);
+    PushDocument(link, node, now);
+  }
+  if (m_settings.m_mode == ServingMode::kRoutes) {
+    // Calls by routes have no idempotency keys, and so no claims.
+    return;
   }
   if (now >= m_next_plan && !m_planning) {
     m_next_plan = now + kPlanPeriod;
@@ -248,6 +289,22 @@
   m_links.Send(link, sets);
 }
 
+void ControlService::PushDocument(LinkId link, Node& node, Millis now) {
+  const DocumentVersion newest = m_state.m_documents.m_version;
+  if (!(node.m_document < newest)) {
+    return;
+  }
+  const bool resend = node.m_sent_document == newest;
+  if (resend && now - node.m_sent_document_at < kPolicyResendAfter) {
+    return;
+  }
+  const auto push = m_documents.PushFor(node.m_document, resend, now);
+  if (push && m_links.Send(link, *push)) {
+    node.m_sent_document = newest;
+    node.m_sent_document_at = now;
+  }
+}
+
 void ControlService::PushSuspects(const std::vector<SuspectRow>& rows) {
   SuspectReport report;
   report.m_rows = rows;
--- a/src/hemlockpoint/control/control_service.h
+++ b/src/hemlockpoint/control/control_service.h
@@ -8,7 +8,9 @@
 
 #include "hemlockpoint/claims/planner.h"
 #include "hemlockpoint/config/settings.h"
+#include "hemlockpoint/control/document_keeper.h"
 #include "hemlockpoint/control/group_driver.h"
+#include "hemlockpoint/control/group_keeper.h"
 #include "hemlockpoint/control/replicated_state.h"
 #include "hemlockpoint/membership/directory.h"
 #include "hemlockpoint/quarantine/quarantine.h"
@@ -35,7 +37,11 @@
 /// keeps the policy document and, while it leads, the directory of members.
 class ControlService {
  public:
-  ControlService(const Settings& settings, FiberLoop& loop, LinkLayer& links);
+  /// @param reader Reads route documents; null where none are served.
+  ControlService(const Settings& settings,
+                 FiberLoop& loop,
+                 LinkLayer& links,
+                 DocumentReader reader = nullptr);
 
   /// @brief Opens the data folder and starts the periodic work.
   /// @return Why the process cannot run, or nothing.
@@ -45,6 +51,9 @@
   void Handle(LinkId link, const GroupInit& init);
   void Handle(LinkId link, const InstanceQuery& query);
   void Handle(LinkId link, const SuspectReport& report);
+  void Handle(LinkId link, const HostBeat& beat);
+  /// @brief Takes in the answer to this host's own beat.
+  void Handle(const HeartbeatAck& ack);
   void Handle(LinkId link, RaftMessage message);
   void OnLinkClosed(LinkId link);
 
@@ -72,6 +81,8 @@
   /// @return Whether this host has just proved that it leads; used on a fiber.
   [[nodiscard]] bool ProveLeadership();
 
+  [[nodiscard]] DocumentKeeper& documents() { return m_documents; }
+  [[nodiscard]] GroupKeeper& keeper() { return m_keeper; }
   [[nodiscard]] const GroupDriver& group() const { return m_group; }
   [[nodiscard]] const ReplicatedState& state() const { return m_state; }
   [[nodiscard]] const Directory& directory() const { return m_directory; }
@@ -88,6 +99,9 @@
     Revision m_sent_revision;
     Millis m_sent_policy{-1e12};
     std::uint64_t m_sent_claim_sets = 0;
+    DocumentVersion m_document;
+    DocumentVersion m_sent_document;
+    Millis m_sent_document_at{-1e12};
   };
 
   void Tick();
@@ -95,6 +109,8 @@
   void PushDirectory(LinkId link, Node& node, Millis now);
   void PushPolicy(LinkId link, Node& node, Millis now);
   void PushClaimSets(LinkId link, Node& node);
+  void PushDocument(LinkId link, Node& node, Millis now);
+  HeartbeatAck MakeAck(Millis now) const;
   void PushSuspects(const std::vector<SuspectRow>& rows);
   void PlanClaims(Millis now);
   void SpreadInit(Millis now);
@@ -106,6 +122,8 @@
   LinkLayer& m_links;
   ReplicatedState m_state;
   GroupDriver m_group;
+  DocumentKeeper m_documents;
+  GroupKeeper m_keeper;
   Directory m_directory;
   QuarantineTable m_quarantine;
   std::map<LinkId, Node> m_nodes;
--- /dev/null
+++ b/src/hemlockpoint/control/document_keeper.cc
@@ -0,0 +1,138 @@
+#include "hemlockpoint/control/document_keeper.h"
+
+#include <utility>
+
+#include "hemlockpoint/log/log.h"
+#include "hemlockpoint/wire/fields_codec.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr Millis kCommitTimeout(3500);
+constexpr Millis kProofTimeout(1000);
+// A push by a leader without fresh proof could carry an outdated document.
+constexpr Millis kPushProofLimit(1500);
+constexpr std::size_t kMaxRecent = 16;
+
+}  // namespace
+
+DocumentKeeper::DocumentKeeper(GroupDriver& group,
+                               const ReplicatedState& state,
+                               DocumentReader reader)
+    : m_group(group), m_state(state), m_reader(std::move(reader)) {}
+
+DocumentAnswer DocumentKeeper::NotLeader() const {
+  DocumentAnswer answer;
+  answer.m_kind = DocumentAnswer::Kind::kNotLeader;
+  const GroupMember* leader = m_group.leader();
+  if (leader != nullptr && leader->m_instance != m_group.raft().m_instance) {
+    answer.m_leader = leader->m_admin;
+  }
+  answer.m_reason = "this host doesn't lead the control group";
+  return answer;
+}
+
+DocumentAnswer DocumentKeeper::Change(DocumentChange change) {
+  DocumentAnswer answer;
+  if (!m_group.is_leader()) {
+    return NotLeader();
+  }
+  answer.m_version = change.m_version;
+  const DocumentStore& store = m_state.m_documents;
+  // An acceptance is committed and applied here, so it needs no proof; any
+  // refusal does, since a newer leader may have accepted the same change.
+  const bool known = store.m_accepted.count(DigestOf(change)) != 0;
+  if (!known) {
+    const Result<RouteDocument> document = m_reader(change.m_text.m_data);
+    const DocumentVerdict verdict = JudgeChange(store, change);
+    const bool acceptable = document && verdict == DocumentVerdict::kAccepted;
+    if (!acceptable) {
+      if (!m_group.ProveLeadership(SteadyNow() + kProofTimeout)) {
+        return NotLeader();
+      }
+      const bool conflict = document && verdict == DocumentVerdict::kConflict;
+      answer.m_kind = conflict ? DocumentAnswer::Kind::kConflict
+                               : DocumentAnswer::Kind::kInvalid;
+      answer.m_reason = "the version isn't above the one in force";
+      if (!document) {
+        answer.m_reason = document.reason();
+      } else if (conflict) {
+        answer.m_reason = "another version is in force";
+      }
+      return answer;
+    }
+    const auto committed =
+        m_group.Commit(EntryKind::kDocument, EncodeFields(change),
+                       SteadyNow() + kCommitTimeout);
+    if (!committed) {
+      answer.m_reason = committed.reason();
+      return answer;
+    }
+  }
+  const bool accepted = store.m_accepted.count(DigestOf(change)) != 0;
+  answer.m_kind = accepted ? DocumentAnswer::Kind::kAccepted
+                           : DocumentAnswer::Kind::kConflict;
+  answer.m_reason = accepted ? (known ? "accepted before" : "committed")
+                             : "another change was committed first";
+  return answer;
+}
+
+DocumentAnswer DocumentKeeper::Read() {
+  if (!m_group.is_leader()) {
+    return NotLeader();
+  }
+  DocumentAnswer answer;
+  if (!m_group.ProveLeadership(SteadyNow() + kProofTimeout)) {
+    answer.m_reason = "no majority confirms this leader";
+    return answer;
+  }
+  answer.m_kind = DocumentAnswer::Kind::kAccepted;
+  answer.m_version = m_state.m_documents.m_version;
+  answer.m_text = m_state.m_documents.m_text;
+  return answer;
+}
+
+std::shared_ptr<const RouteDocument> DocumentKeeper::Newest() {
+  const DocumentStore& store = m_state.m_documents;
+  const auto known = m_recent.find(store.m_version);
+  if (known != m_recent.end()) {
+    return known->second;
+  }
+  Result<RouteDocument> document = m_reader(store.m_text);
+  if (!document) {
+    // Only a document that was read before it was committed can be here.
+    LogLine(LogLevel::kError, "document_unreadable")
+        .With("version", store.m_version.value())
+        .With("reason", document.reason());
+    return nullptr;
+  }
+  auto shared = std::make_shared<const RouteDocument>(std::move(*document));
+  m_recent[store.m_version] = shared;
+  if (m_recent.size() > kMaxRecent) {
+    m_recent.erase(m_recent.begin());
+  }
+  return shared;
+}
+
+std::optional<DocumentPush> DocumentKeeper::PushFor(DocumentVersion version,
+                                                    bool whole,
+                                                    Millis now) {
+  const Millis proof_age = ProofAge(m_group.raft(), now);
+  const bool current = !(version < m_state.m_documents.m_version);
+  if (current || proof_age > kPushProofLimit) {
+    return std::nullopt;
+  }
+  const std::shared_ptr<const RouteDocument> newest = Newest();
+  if (!newest) {
+    return std::nullopt;
+  }
+  const auto older = m_recent.find(version);
+  const bool differs = !whole && older != m_recent.end();
+  DocumentPush push =
+      MakeDocumentPush(differs ? older->second.get() : nullptr, *newest);
+  push.m_proof_age = proof_age;
+  return push;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/control/document_keeper.h
@@ -0,0 +1,73 @@
+#ifndef HEMLOCKPOINT_CONTROL_DOCUMENT_KEEPER_H_
+#define HEMLOCKPOINT_CONTROL_DOCUMENT_KEEPER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "hemlockpoint/control/group_driver.h"
+#include "hemlockpoint/control/replicated_state.h"
+#include "hemlockpoint/documents/document_delta.h"
+
+namespace hemlockpoint {
+
+/// @brief Reads a route document in the form in which operators send it.
+using DocumentReader =
+    std::function<Result<RouteDocument>(const std::string& text)>;
+
+/// @brief How an operator's call about the route document has ended.
+struct DocumentAnswer {
+  enum class Kind {
+    kAccepted,
+    kConflict,
+    kInvalid,
+    /// This host doesn't lead; m_leader may be asked.
+    kNotLeader,
+    /// It is not known whether the change was committed, or which document
+    /// is the newest.
+    kUnknown,
+  };
+  Kind m_kind = Kind::kUnknown;
+  std::string m_reason;
+  /// Operator endpoint of the leader where known.
+  std::string m_leader;
+  /// The document in force, after a read.
+  std::string m_text;
+  DocumentVersion m_version;
+};
+
+/// @brief Takes changes of the route document, and hands it to nodes.
+class DocumentKeeper {
+ public:
+  DocumentKeeper(GroupDriver& group,
+                 const ReplicatedState& state,
+                 DocumentReader reader);
+
+  /// @brief Commits a change; used on a fiber.
+  [[nodiscard]] DocumentAnswer Change(DocumentChange change);
+
+  /// @brief Reads the newest document; used on a fiber.
+  [[nodiscard]] DocumentAnswer Read();
+
+  /// @brief Makes what a node needs that has a document of some version.
+  /// @return Nothing when it has the newest, or this host can't be sure.
+  [[nodiscard]] std::optional<DocumentPush> PushFor(DocumentVersion version,
+                                                    bool whole,
+                                                    Millis now);
+
+ private:
+  DocumentAnswer NotLeader() const;
+  std::shared_ptr<const RouteDocument> Newest();
+
+  GroupDriver& m_group;
+  const ReplicatedState& m_state;
+  DocumentReader m_reader;
+  /// Documents of late, for differences.
+  std::map<DocumentVersion, std::shared_ptr<const RouteDocument>> m_recent;
+};
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_CONTROL_DOCUMENT_KEEPER_H_
--- a/src/hemlockpoint/control/replicated_state.cc
+++ b/src/hemlockpoint/control/replicated_state.cc
@@ -11,11 +11,13 @@
 struct StoredReplicatedState {
   Bytes m_policy;
   std::vector<ClaimSet> m_claim_sets;
+  Bytes m_documents;
 
   template <typename Self, typename Visitor>
   static void Visit(Self& self, Visitor& visit) {
     visit("policy", self.m_policy);
     visit("claims", self.m_claim_sets);
+    visit("documents", self.m_documents);
   }
 };
 
@@ -46,6 +48,11 @@
     if (set) {
       PutClaimSet(state, *set);
     }
+  } else if (entry.m_kind == EntryKind::kDocument) {
+    const auto change = DecodeFields<DocumentChange>(data);
+    if (change) {
+      (void)ApplyDocumentChange(state.m_documents, *change);
+    }
   }
 }
 
@@ -55,6 +62,7 @@
   for (const auto& [service, set] : state.m_claim_sets) {
     stored.m_claim_sets.push_back(set);
   }
+  stored.m_documents.m_data = EncodeDocumentStore(state.m_documents);
   return EncodeFields(stored);
 }
 
@@ -68,7 +76,12 @@
   if (!policy) {
     return StateResult::Failure(policy.reason());
   }
+  auto documents = DecodeDocumentStore(stored->m_documents.m_data);
+  if (!documents) {
+    return StateResult::Failure(documents.reason());
+  }
   ReplicatedState state;
+  state.m_documents = std::move(*documents);
   state.m_policy = std::move(*policy);
   for (ClaimSet& set : stored->m_claim_sets) {
     const ServiceName service = set.m_service;
--- a/src/hemlockpoint/control/replicated_state.h
+++ b/src/hemlockpoint/control/replicated_state.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "hemlockpoint/base/result.h"
+#include "hemlockpoint/documents/document_store.h"
 #include "hemlockpoint/policy/store.h"
 #include "hemlockpoint/wire/claim_messages.h"
 #include "hemlockpoint/wire/consensus_messages.h"
@@ -15,6 +16,7 @@
 struct ReplicatedState {
   PolicyStore m_policy;
   std::map<ServiceName, ClaimSet> m_claim_sets;
+  DocumentStore m_documents;
 };
 
 /// @brief Applies one committed entry. Bytes that can't be decoded change
--- /dev/null
+++ b/src/hemlockpoint/dispatch/service_times.cc
@@ -0,0 +1,30 @@
+#include "hemlockpoint/dispatch/service_times.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+Millis Average(Millis old, Millis sample) {
+  return old == Millis(0) ? sample : old + (sample - old) * kServiceTimeGain;
+}
+
+}  // namespace
+
+void RecordServiceTime(ServiceTimes& times,
+                       const std::string& route,
+                       Millis duration) {
+  times.m_mean = Average(times.m_mean, duration);
+  const bool known = times.m_by_route.count(route) != 0;
+  if (known || times.m_by_route.size() < kMaxTimedRoutes) {
+    Millis& average = times.m_by_route[route];
+    average = Average(average, duration);
+  }
+}
+
+Millis ExpectedServiceTime(const ServiceTimes& times,
+                           const std::string& route) {
+  const auto known = times.m_by_route.find(route);
+  return known == times.m_by_route.end() ? times.m_mean : known->second;
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/dispatch/target_choice.cc
@@ -0,0 +1,117 @@
+#include "hemlockpoint/dispatch/target_choice.h"
+
+#include <algorithm>
+
+namespace hemlockpoint {
+
+namespace {
+
+// A report older than this says little of the target's queue.
+constexpr Millis kReportFreshFor(1000);
+constexpr double kLatencyGain = 0.1;
+constexpr double kFailureGain = 0.1;
+// Share of the objective up to which an answer is as good as certain to be in
+// time; service times spread by about half of their mean.
+constexpr double kSureShare = 0.6;
+// Share beyond the sure part over which the chance falls to nothing.
+constexpr double kDoubtShare = 0.8;
+// The cost of crossing never outweighs a much better chance of an answer.
+constexpr double kMaxCrossingCost = 0.5;
+// Breaks ties in favour of the faster one.
+constexpr double kLatencyWeight = 0.05;
+constexpr double kKib = 1024;
+
+double ChanceInTime(Millis expected, Millis left) {
+  if (left <= Millis(0)) {
+    // All are late; the sooner the better.
+    return 1 / (1 + expected.value() / 1000);
+  }
+  const double share = expected / left;
+  return std::clamp(1 - (share - kSureShare) / kDoubtShare, 0.0, 1.0);
+}
+
+double Utility(const TargetPeer& peer, const ChoiceTerms& terms, Millis now) {
+  const Millis expected = ExpectedLatency(peer, now);
+  const double chance =
+      ChanceInTime(expected, terms.m_objective_left) * (1 - peer.m_failures);
+  const double crossing =
+      peer.m_same_domain
+          ? 0
+          : std::min(kMaxCrossingCost,
+                     terms.m_bytes / kKib * terms.m_cost_per_kib);
+  const Millis scale = Max(terms.m_objective_left, Millis(100));
+  return chance - crossing - kLatencyWeight * (expected / scale);
+}
+
+}  // namespace
+
+Millis ExpectedLatency(const TargetPeer& peer, Millis now) {
+  const Millis service = Max(peer.m_latency, peer.m_load.m_service_time);
+  if (now - peer.m_load_time > kReportFreshFor || peer.m_load.m_limit <= 0) {
+    const double slots =
+        std::max<double>(1, static_cast<double>(peer.m_member.m_target.m_slots));
+    return service *
+           std::max(1.0, static_cast<double>(peer.m_outstanding) / slots);
+  }
+  const double ahead = static_cast<double>(peer.m_load.m_in_flight) +
+                       static_cast<double>(peer.m_load.m_queued) +
+                       static_cast<double>(peer.m_sent_since_report);
+  const double waiting = std::max(0.0, ahead - peer.m_load.m_limit + 1);
+  return service + peer.m_load.m_service_time * (waiting / peer.m_load.m_limit);
+}
+
+std::optional<NodeId> ChooseTargetPeer(const TargetPeers& peers,
+                                       const std::vector<NodeId>& excluded,
+                                       const ChoiceTerms& terms,
+                                       double random,
+                                       Millis now) {
+  std::vector<const TargetPeer*> candidates;
+  for (const bool avoid : {true, false}) {
+    for (const auto& [node, peer] : peers) {
+      const bool tried = std::find(excluded.begin(), excluded.end(), node) !=
+                         excluded.end();
+      const bool usable = !tried && !peer.m_member.m_target.m_leaving;
+      if (usable && !(avoid && now < peer.m_avoid_until)) {
+        candidates.push_back(&peer);
+      }
+    }
+    if (!candidates.empty()) {
+      break;
+    }
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  // Starting anywhere spreads calls among equals.
+  const std::size_t start =
+      static_cast<std::size_t>(random * static_cast<double>(candidates.size()));
+  const TargetPeer* best = nullptr;
+  double best_utility = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const TargetPeer* peer = candidates[(start + i) % candidates.size()];
+    const double utility = Utility(*peer, terms, now);
+    if (best == nullptr || utility > best_utility) {
+      best = peer;
+      best_utility = utility;
+    }
+  }
+  return best->m_member.m_node;
+}
+
+void RecordTargetAnswer(TargetPeer& peer, const LoadReport& load, Millis now) {
+  peer.m_load = load;
+  peer.m_load_time = now;
+  peer.m_sent_since_report = 0;
+}
+
+void RecordTargetOutcome(TargetPeer& peer, Millis duration, bool failed) {
+  peer.m_failures += ((failed ? 1.0 : 0.0) - peer.m_failures) * kFailureGain;
+  if (!failed) {
+    peer.m_latency = peer.m_latency == Millis(0)
+                         ? duration
+                         : peer.m_latency +
+                               (duration - peer.m_latency) * kLatencyGain;
+  }
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/documents/document_delta.cc
@@ -0,0 +1,113 @@
+#include "hemlockpoint/documents/document_delta.h"
+
+#include <map>
+#include <set>
+
+#include "hemlockpoint/wire/fields_codec.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+// Names aren't known to be unique, so a route is the same only when all of
+// it is.
+using Encoded = std::string;
+
+std::multiset<Encoded> EncodeRoutes(const RouteDocument& document) {
+  std::multiset<Encoded> routes;
+  for (const Route& route : document.m_routes) {
+    routes.insert(EncodeFields(route));
+  }
+  return routes;
+}
+
+bool HasUniqueNames(const RouteDocument& document) {
+  std::set<RouteName> names;
+  for (const Route& route : document.m_routes) {
+    if (!names.insert(route.m_name).second) {
+      return false;
+    }
+  }
+  return true;
+}
+
+DocumentPush WholeDocument(const RouteDocument& document) {
+  DocumentPush push;
+  push.m_version = document.m_version;
+  push.m_changed = document.m_routes;
+  push.m_services = document.m_services;
+  push.m_bounds = document.m_bounds;
+  return push;
+}
+
+}  // namespace
+
+DocumentPush MakeDocumentPush(const RouteDocument* older,
+                              const RouteDocument& newer) {
+  if (older == nullptr || !HasUniqueNames(*older) || !HasUniqueNames(newer)) {
+    return WholeDocument(newer);
+  }
+  DocumentPush push;
+  push.m_version = newer.m_version;
+  push.m_since = older->m_version;
+  push.m_services = newer.m_services;
+  push.m_bounds = newer.m_bounds;
+  const std::multiset<Encoded> known = EncodeRoutes(*older);
+  std::set<RouteName> names;
+  for (const Route& route : newer.m_routes) {
+    names.insert(route.m_name);
+    if (known.count(EncodeFields(route)) == 0) {
+      push.m_changed.push_back(route);
+    }
+  }
+  for (const Route& route : older->m_routes) {
+    if (names.count(route.m_name) == 0) {
+      push.m_removed.push_back(route.m_name);
+    }
+  }
+  return push;
+}
+
+std::optional<RouteDocument> ApplyDocumentPush(const RouteDocument* current,
+                                               const DocumentPush& push) {
+  const bool whole = push.m_since == DocumentVersion();
+  if (current != nullptr && !(current->m_version < push.m_version)) {
+    return std::nullopt;
+  }
+  const bool builds_on =
+      current != nullptr && current->m_version == push.m_since;
+  if (!whole && !builds_on) {
+    return std::nullopt;
+  }
+  RouteDocument document;
+  document.m_version = push.m_version;
+  document.m_services = push.m_services;
+  document.m_bounds = push.m_bounds;
+  if (whole) {
+    document.m_routes = push.m_changed;
+    return document;
+  }
+  std::map<RouteName, const Route*> changed;
+  for (const Route& route : push.m_changed) {
+    changed[route.m_name] = &route;
+  }
+  const std::set<RouteName> removed(push.m_removed.begin(),
+                                    push.m_removed.end());
+  for (const Route& route : current->m_routes) {
+    const auto update = changed.find(route.m_name);
+    if (update != changed.end()) {
+      document.m_routes.push_back(*update->second);
+      changed.erase(update);
+    } else if (removed.count(route.m_name) == 0) {
+      document.m_routes.push_back(route);
+    }
+  }
+  for (const Route& route : push.m_changed) {
+    if (changed.count(route.m_name) != 0) {
+      document.m_routes.push_back(route);
+    }
+  }
+  return document;
+}
+
+}  // namespace hemlockpoint
--- a/src/hemlockpoint/http/beast_fields.h
+++ b/src/hemlockpoint/http/beast_fields.h
@@ -2,6 +2,7 @@
 #define HEMLOCKPOINT_HTTP_BEAST_FIELDS_H_
 
 #include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <string>
 
 #include "hemlockpoint/http/heads.h"
@@ -12,10 +13,12 @@
 template <typename Message>
 [[nodiscard]] HeaderFields CopyEndToEnd(const Message& message) {
   HeaderFields fields;
+  boost::beast::http::token_list nominated(
+      message[boost::beast::http::field::connection]);
   for (const auto& field : message) {
     const auto name = field.name_string();
     const std::string_view view(name.data(), name.size());
-    if (!IsHopByHop(view)) {
+    if (!IsHopByHop(view) && !nominated.exists(name)) {
       fields.push_back({std::string(view), std::string(field.value())});
     }
   }
--- a/src/hemlockpoint/http/client.cc
+++ b/src/hemlockpoint/http/client.cc
@@ -1,10 +1,13 @@
 #include "hemlockpoint/http/client.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <limits>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -23,13 +26,34 @@
 
 constexpr unsigned kHttp11 = 11;
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+// Servers that state no timeout commonly close after 5 s or more.
+constexpr Millis kDefaultKeepAlive(4000);
+constexpr Millis kKeepAliveMargin(1000);
 
 struct Connection {
   explicit Connection(asio::io_context& io) : m_socket(io) {}
   tcp::socket m_socket;
   beast::flat_buffer m_buffer;
+  Millis m_idle_since;
+  // How long the server keeps the connection while it is idle.
+  Millis m_keep_alive_for = kDefaultKeepAlive;
 };
 
+// Reads "timeout=N" of a Keep-Alive field. The server counts in whole seconds
+// from its own point in time, so a second of it isn't used.
+Millis KeepAliveOf(std::string_view field) {
+  static constexpr std::string_view kKey = "timeout=";
+  const std::size_t at = field.find(kKey);
+  int seconds = 0;
+  if (at == std::string_view::npos ||
+      std::from_chars(field.data() + at + kKey.size(),
+                      field.data() + field.size(), seconds)
+              .ec != std::errc()) {
+    return kDefaultKeepAlive;
+  }
+  return Max(Millis(seconds * 1000.0) - kKeepAliveMargin, Millis(0));
+}
+
 // Whether the server has closed an idle connection, or sent on it unasked.
 bool IsStale(Connection& connection) {
   char byte = 0;
@@ -47,19 +71,41 @@
         m_server(asio::ip::make_address(server.m_address), server.m_port),
         m_max_connections(max_connections) {}
 
-  std::unique_ptr<Connection> TakeIdle() {
+  // The connection that was used last is the least likely to be closed.
+  std::unique_ptr<Connection> TakeIdle(Millis longest_idle) {
+    const Millis now = SteadyNow();
     while (!m_idle.empty()) {
+      if (now - m_idle.back()->m_idle_since > longest_idle) {
+        return nullptr;
+      }
       std::unique_ptr<Connection> connection = std::move(m_idle.back());
       m_idle.pop_back();
-      if (!IsStale(*connection)) {
+      const bool expired =
+          now - connection->m_idle_since > connection->m_keep_alive_for;
+      if (!expired && !IsStale(*connection)) {
         return connection;
       }
     }
     return nullptr;
   }
 
+  void DropExpired() {
+    const Millis now = SteadyNow();
+    m_idle.erase(std::remove_if(m_idle.begin(), m_idle.end(),
+                                [now](const auto& connection) {
+                                  return now - connection->m_idle_since >
+                                         connection->m_keep_alive_for;
+                                }),
+                 m_idle.end());
+  }
+
   Result<std::unique_ptr<Connection>> Connect(Millis timeout) {
     using Failure = Result<std::unique_ptr<Connection>>;
+    DropExpired();
+    if (m_busy + m_idle.size() >= m_max_connections && !m_idle.empty()) {
+      // Too long idle for this call, so it gives way.
+      m_idle.erase(m_idle.begin());
+    }
     if (m_busy + m_idle.size() >= m_max_connections) {
       return Failure::Failure("all connections to the server are in use");
     }
@@ -105,8 +151,10 @@
 
   ~Call() override {
     --m_pool->m_busy;
+    // Bytes after the response belong to no request.
     if (!m_cancelled && m_sent && m_parser && m_parser->is_done() &&
-        m_parser->keep_alive()) {
+        m_parser->keep_alive() && m_connection->m_buffer.size() == 0) {
+      m_connection->m_idle_since = SteadyNow();
       m_pool->m_idle.push_back(std::move(m_connection));
     }
   }
@@ -157,6 +205,9 @@
       }
     } while (IsInterim(m_parser->get().result_int()));
     const auto& message = m_parser->get();
+    const auto keep_alive = message[http::field::keep_alive];
+    m_connection->m_keep_alive_for =
+        KeepAliveOf({keep_alive.data(), keep_alive.size()});
     HttpResponseHead head;
     head.m_status = message.result_int();
     head.m_headers = internal::CopyEndToEnd(message);
@@ -220,9 +271,11 @@
   CloseIdle();
 }
 
-Result<std::unique_ptr<HttpClientCall>> HttpClientPool::Open(Millis timeout) {
+Result<std::unique_ptr<HttpClientCall>> HttpClientPool::Open(
+    Millis timeout,
+    Millis longest_idle) {
   using CallResult = Result<std::unique_ptr<HttpClientCall>>;
-  std::unique_ptr<Connection> connection = m_state->TakeIdle();
+  std::unique_ptr<Connection> connection = m_state->TakeIdle(longest_idle);
   if (!connection) {
     auto connected = m_state->Connect(timeout);
     if (!connected) {
--- a/src/hemlockpoint/http/client.h
+++ b/src/hemlockpoint/http/client.h
@@ -28,7 +28,8 @@
   /// @brief Writes a further part of the body; empty only when complete.
   virtual bool SendBody(std::string_view bytes, bool complete) = 0;
 
-  /// @return The response's head, or nothing when the connection failed.
+  /// @return The head of the next response, or nothing when the connection
+  /// failed. The body of a response before it has been read.
   [[nodiscard]] virtual std::optional<HttpResponseHead> ReadHead() = 0;
 
   /// @return The next bytes; empty at the end; nothing when the response was
@@ -52,8 +53,13 @@
 
   /// @brief Takes an idle connection or opens one.
   /// @param timeout Time to connect at most.
+  /// @param longest_idle A connection that has been idle for longer is not
+  /// taken. Its server may be closing it at this moment, after which nobody
+  /// can say whether the request was read.
   /// @return A call on which nothing has been written, or why there is none.
-  [[nodiscard]] Result<std::unique_ptr<HttpClientCall>> Open(Millis timeout);
+  [[nodiscard]] Result<std::unique_ptr<HttpClientCall>> Open(
+      Millis timeout,
+      Millis longest_idle = Millis(1e9));
 
   /// @brief Closes idle connections.
   void CloseIdle();
--- /dev/null
+++ b/src/hemlockpoint/http/connection.cc
@@ -0,0 +1,242 @@
+#include "hemlockpoint/http/connection.h"
+
+#include <boost/asio/write.hpp>
+#include <utility>
+#include <vector>
+
+#include "hemlockpoint/http/beast_fields.h"
+#include "hemlockpoint/runtime/await.h"
+
+namespace hemlockpoint::internal {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+
+constexpr unsigned kHttp11 = 11;
+
+}  // namespace
+
+void HttpConnection::Close() {
+  ErrorCode ignored;
+  m_socket.close(ignored);
+  m_closing = true;
+  OnCallerGone();
+}
+
+void HttpConnection::OnCallerGone() {
+  m_caller_gone = true;
+  auto watchers = std::move(m_watchers);
+  m_watchers.clear();
+  for (const auto& [ticket, gone] : watchers) {
+    gone();
+  }
+  m_changed.Notify();
+}
+
+bool HttpConnection::AwaitTurn(Ticket ticket) {
+  m_changed.Wait([&] { return m_closing || m_turn == ticket; });
+  return !m_closing;
+}
+
+void HttpConnection::EndTurn(Ticket ticket, bool reusable) {
+  m_watchers.erase(ticket);
+  if (!reusable && !m_closing) {
+    m_closing = true;
+    // What the caller still sends is read before the socket is closed, since
+    // closing it with unread bytes would destroy the response on its way.
+    ErrorCode ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  }
+  ++m_turn;
+  m_idle_since = SteadyNow();
+  m_changed.Notify();
+}
+
+ServerExchange::ServerExchange(std::shared_ptr<HttpConnection> connection,
+                               const HttpServerLimits& limits)
+    : m_connection(std::move(connection)) {
+  m_parser.header_limit(limits.m_header_bytes);
+  m_parser.body_limit(limits.m_body_bytes);
+}
+
+ErrorCode ServerExchange::ReadRequestHead() {
+  const IoResult read = AwaitIo([this](auto handler) {
+    http::async_read_header(m_connection->m_socket, m_connection->m_buffer,
+                            m_parser, std::move(handler));
+  });
+  if (read.m_error) {
+    return read.m_error;
+  }
+  const auto& message = m_parser.get();
+  m_head.m_method = std::string(message.method_string());
+  m_head.m_path = std::string(message.target());
+  m_head.m_headers = CopyEndToEnd(message);
+  if (const auto length = m_parser.content_length()) {
+    m_head.m_content_length = *length;
+  } else if (!message.chunked()) {
+    m_head.m_content_length = 0;
+  }
+  m_keep_alive = message.keep_alive();
+  m_expects_continue =
+      beast::iequals(message[http::field::expect], "100-continue");
+  return {};
+}
+
+void ServerExchange::TakeTicket() {
+  m_ticket = m_connection->m_next++;
+}
+
+void ServerExchange::Finish() {
+  m_ended = true;
+  if (!m_finished) {
+    // Earlier responses on the connection still leave.
+    (void)m_connection->AwaitTurn(m_ticket);
+    m_connection->m_watchers.erase(m_ticket);
+    m_connection->Close();
+  }
+  const bool reusable =
+      m_finished && m_keep_alive && !m_body_failed && m_parser.is_done();
+  m_connection->EndTurn(m_ticket, reusable);
+}
+
+std::optional<std::string> ServerExchange::ReadBody() {
+  if (!SendContinue()) {
+    return std::nullopt;
+  }
+  std::string chunk;
+  while (chunk.empty() && !m_parser.is_done()) {
+    chunk.resize(kMaxChunkBytes);
+    m_parser.get().body().data = chunk.data();
+    m_parser.get().body().size = chunk.size();
+    const IoResult read = AwaitIo([this](auto handler) {
+      http::async_read_some(m_connection->m_socket, m_connection->m_buffer,
+                            m_parser, std::move(handler));
+    });
+    if (read.m_error && read.m_error != http::error::need_buffer) {
+      m_body_too_large = read.m_error == http::error::body_limit;
+      m_body_failed = true;
+      m_connection->m_changed.Notify();
+      return std::nullopt;
+    }
+    chunk.resize(chunk.size() - m_parser.get().body().size);
+  }
+  if (m_parser.is_done()) {
+    m_connection->m_changed.Notify();
+  }
+  return chunk;
+}
+
+void ServerExchange::WatchCaller(std::function<void()> gone) {
+  if (m_connection->m_caller_gone) {
+    gone();
+    return;
+  }
+  m_connection->m_watchers[m_ticket] = std::move(gone);
+}
+
+bool ServerExchange::Respond(const HttpResponseHead& head,
+                             std::string_view body) {
+  HttpResponseHead whole = head;
+  whole.m_content_length = body.size();
+  if (!Begin(whole)) {
+    return false;
+  }
+  SetBody(body, false);
+  return WriteAll();
+}
+
+bool ServerExchange::StartResponse(const HttpResponseHead& head) {
+  if (!Begin(head)) {
+    return false;
+  }
+  const IoResult written = AwaitIo([this](auto handler) {
+    http::async_write_header(m_connection->m_socket, *m_serializer,
+                             std::move(handler));
+  });
+  return !written.m_error;
+}
+
+bool ServerExchange::WriteBody(std::string_view bytes) {
+  if (m_head.m_method == "HEAD") {
+    return true;
+  }
+  SetBody(bytes, true);
+  return WriteAll();
+}
+
+bool ServerExchange::FinishResponse() {
+  if (m_head.m_method == "HEAD") {
+    m_finished = true;
+    return true;
+  }
+  SetBody({}, false);
+  return WriteAll();
+}
+
+void ServerExchange::Abort() {
+  m_connection->Close();
+}
+
+bool ServerExchange::SendContinue() {
+  if (!m_expects_continue) {
+    return true;
+  }
+  m_expects_continue = false;
+  if (!m_connection->AwaitTurn(m_ticket)) {
+    return false;
+  }
+  static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  const IoResult written = AwaitIo([this](auto handler) {
+    asio::async_write(m_connection->m_socket,
+                      asio::buffer(kContinue.data(), kContinue.size()),
+                      std::move(handler));
+  });
+  return !written.m_error;
+}
+
+bool ServerExchange::Begin(const HttpResponseHead& head) {
+  if (!m_connection->AwaitTurn(m_ticket)) {
+    return false;
+  }
+  m_response.version(kHttp11);
+  m_response.result(head.m_status);
+  SetFields(m_response, head.m_headers, head.m_content_length);
+  // The unread rest of a body would be taken for the next request.
+  m_keep_alive = m_keep_alive && m_parser.is_done() &&
+                 !m_connection->m_close_after_response;
+  m_response.keep_alive(m_keep_alive);
+  m_serializer.emplace(m_response);
+  return true;
+}
+
+void ServerExchange::SetBody(std::string_view bytes, bool more) {
+  auto& body = m_response.body();
+  // The library only reads through the pointer while it writes.
+  body.data = bytes.empty() ? nullptr : const_cast<char*>(bytes.data());
+  body.size = bytes.size();
+  body.more = more;
+}
+
+bool ServerExchange::WriteAll() {
+  const bool last = !m_response.body().more;
+  const bool head_only = m_head.m_method == "HEAD";
+  const IoResult written = AwaitIo([this, head_only](auto handler) {
+    if (head_only) {
+      http::async_write_header(m_connection->m_socket, *m_serializer,
+                               std::move(handler));
+    } else {
+      http::async_write(m_connection->m_socket, *m_serializer,
+                        std::move(handler));
+    }
+  });
+  const bool ok =
+      !written.m_error || written.m_error == http::error::need_buffer;
+  m_finished = ok && last;
+  return ok;
+}
+
+}  // namespace hemlockpoint::internal
--- /dev/null
+++ b/src/hemlockpoint/http/connection.h
@@ -0,0 +1,119 @@
+#ifndef HEMLOCKPOINT_HTTP_CONNECTION_H_
+#define HEMLOCKPOINT_HTTP_CONNECTION_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "hemlockpoint/http/server.h"
+#include "hemlockpoint/runtime/fiber_event.h"
+
+namespace hemlockpoint::internal {
+
+/// @brief Numbers the requests of one connection in their order.
+using Ticket = std::uint64_t;
+
+/// @brief A connection of an HTTP listener, and the requests that came on it
+/// and are not answered.
+struct HttpConnection {
+  explicit HttpConnection(boost::asio::io_context& io) : m_socket(io) {}
+
+  void Close();
+
+  /// @brief Calls what waits for the caller to leave.
+  void OnCallerGone();
+
+  /// @brief Waits until all earlier requests are answered.
+  /// @return Whether a response may be written.
+  [[nodiscard]] bool AwaitTurn(Ticket ticket);
+
+  /// @brief Ends a request's turn.
+  /// @param reusable Whether the connection can carry another response.
+  void EndTurn(Ticket ticket, bool reusable);
+
+  [[nodiscard]] std::size_t unanswered() const {
+    return static_cast<std::size_t>(m_next - m_turn);
+  }
+
+  boost::asio::ip::tcp::socket m_socket;
+  boost::beast::flat_buffer m_buffer;
+  /// When the connection is closed if the current head is still incomplete.
+  Millis m_head_deadline{1e300};
+  /// When the last response ended.
+  Millis m_idle_since;
+  Ticket m_next = 0;
+  Ticket m_turn = 0;
+  /// The caller has left, or sent what can't be read.
+  bool m_caller_gone = false;
+  /// No further response may follow.
+  bool m_closing = false;
+  /// Set by the listener: responses announce that the connection closes.
+  bool m_close_after_response = false;
+  std::map<Ticket, std::function<void()>> m_watchers;
+  FiberEvent m_changed;
+};
+
+/// @brief One request on a connection, and its response.
+class ServerExchange : public HttpExchange {
+ public:
+  ServerExchange(std::shared_ptr<HttpConnection> connection,
+                 const HttpServerLimits& limits);
+
+  /// @return The error that ended the attempt to read a head.
+  [[nodiscard]] boost::system::error_code ReadRequestHead();
+
+  /// @brief Takes its place in the connection's order.
+  void TakeTicket();
+
+  /// @brief Ends the request after its handler has returned.
+  void Finish();
+
+  [[nodiscard]] const HttpRequestHead& head() const override { return m_head; }
+  [[nodiscard]] std::optional<std::string> ReadBody() override;
+  [[nodiscard]] bool body_too_large() const override {
+    return m_body_too_large;
+  }
+  void WatchCaller(std::function<void()> gone) override;
+  bool Respond(const HttpResponseHead& head, std::string_view body) override;
+  bool StartResponse(const HttpResponseHead& head) override;
+  bool WriteBody(std::string_view bytes) override;
+  bool FinishResponse() override;
+  void Abort() override;
+
+  /// @return Whether the next request's head can be read.
+  [[nodiscard]] bool is_input_read() const {
+    return m_parser.is_done() || m_ended || m_body_failed;
+  }
+  /// @return Whether another request may follow on the connection.
+  [[nodiscard]] bool keeps_alive() const { return m_keep_alive; }
+
+ private:
+  bool SendContinue();
+  bool Begin(const HttpResponseHead& head);
+  void SetBody(std::string_view bytes, bool more);
+  bool WriteAll();
+
+  std::shared_ptr<HttpConnection> m_connection;
+  boost::beast::http::request_parser<boost::beast::http::buffer_body> m_parser;
+  HttpRequestHead m_head;
+  boost::beast::http::response<boost::beast::http::buffer_body> m_response;
+  std::optional<boost::beast::http::response_serializer<
+      boost::beast::http::buffer_body>>
+      m_serializer;
+  Ticket m_ticket = 0;
+  bool m_keep_alive = false;
+  bool m_expects_continue = false;
+  bool m_body_too_large = false;
+  bool m_body_failed = false;
+  bool m_finished = false;
+  bool m_ended = false;
+};
+
+}  // namespace hemlockpoint::internal
+
+#endif  // HEMLOCKPOINT_HTTP_CONNECTION_H_
--- a/src/hemlockpoint/http/server.h
+++ b/src/hemlockpoint/http/server.h
@@ -20,9 +20,12 @@
   std::size_t m_connections = 4096;
   /// Time for a caller to send a request's head once it has begun.
   Millis m_head_timeout{10'000};
+  /// Time after which a connection without a request is closed; 0 for never.
+  Millis m_idle_timeout;
 };
 
-/// @brief One request and its response; used on the connection's fiber.
+/// @brief One request and its response; used on the request's fiber. Responses
+/// leave in the order of the requests, so writing one waits for those before.
 class HttpExchange {
  public:
   virtual ~HttpExchange() = default;
@@ -55,13 +58,14 @@
   virtual void Abort() = 0;
 };
 
-/// @brief Accepts HTTP/1.1 connections, one fiber each.
+/// @brief Accepts HTTP/1.1 connections. Requests without a body that arrive
+/// before earlier ones are answered are served at the same time.
 class HttpServer {
  public:
   using Handler = std::function<void(HttpExchange&)>;
 
-  /// @param handler Called for each request on the connection's fiber. A
-  /// handler that returns without a response closes the connection.
+  /// @param handler Called for each request on a fiber of its own. A handler
+  /// that returns without a response closes the connection.
   HttpServer(FiberLoop& loop, HttpServerLimits limits, Handler handler);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
@@ -70,6 +74,13 @@
   /// @return Why listening failed, or nothing.
   [[nodiscard]] std::optional<std::string> Listen(const Endpoint& endpoint);
 
+  /// @brief Changes the bounds for requests that begin from now on.
+  void SetLimits(const HttpServerLimits& limits);
+
+  /// @brief Goes on accepting, but closes each connection after its current
+  /// response.
+  void CloseAfterResponses();
+
   /// @brief Accepts no more connections, closes idle ones and closes the
   /// others after their current response.
   void Drain();
--- a/src/hemlockpoint/log/log.cc
+++ b/src/hemlockpoint/log/log.cc
@@ -55,11 +55,17 @@
   return std::nullopt;
 }
 
-void StartLog(LogLevel level) {
+void SetLogLevel(LogLevel level) {
+  g_minimum = level;
+}
+
+void StartLog(LogLevel level, LogStream stream) {
   g_minimum = level;
   auto backend = boost::make_shared<sinks::text_ostream_backend>();
   backend->add_stream(
-      boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+      boost::shared_ptr<std::ostream>(
+          stream == LogStream::kStandardOutput ? &std::cout : &std::cerr,
+          boost::null_deleter()));
   backend->auto_flush(true);
   g_sink = boost::make_shared<Sink>(backend);
   boost::log::core::get()->add_sink(g_sink);
--- a/src/hemlockpoint/log/log.h
+++ b/src/hemlockpoint/log/log.h
@@ -13,11 +13,16 @@
 /// @return The level that the word names: debug, info, warning or error.
 [[nodiscard]] std::optional<LogLevel> ParseLogLevel(std::string_view word);
 
-/// @brief Starts writing events of at least `level` to standard error.
+enum class LogStream { kStandardError, kStandardOutput };
+
+/// @brief Starts writing events of at least `level`.
 ///
 /// Writing happens on a thread of the log library behind a bounded queue;
 /// when the queue is full, events are dropped rather than delaying calls.
-void StartLog(LogLevel level);
+void StartLog(LogLevel level, LogStream stream = LogStream::kStandardError);
+
+/// @brief Changes the level of a log that was started.
+void SetLogLevel(LogLevel level);
 
 /// @brief Writes out what is queued and ends the log's thread.
 void StopLog();
--- a/src/hemlockpoint/node/admin_service.cc
+++ b/src/hemlockpoint/node/admin_service.cc
@@ -74,6 +74,9 @@
   const auto handler = m_handlers.find(request.m_method + " " + request.m_path);
   if (!body) {
     response = AdminError(kContentTooLarge, "body larger than 512 KiB");
+  } else if (handler == m_handlers.end() && m_fallback) {
+    request.m_body = std::move(*body);
+    response = m_fallback(request);
   } else if (handler == m_handlers.end()) {
     response = AdminError(kNotFound, "no such operation: " + request.m_method +
                                          " " + request.m_path);
@@ -83,6 +86,7 @@
   }
   HttpResponseHead out;
   out.m_status = response.m_status;
+  out.m_headers = response.m_headers;
   out.m_headers.push_back({"Content-Type", response.m_content_type});
   exchange.Respond(out, response.m_body);
 }
--- a/src/hemlockpoint/node/admin_service.h
+++ b/src/hemlockpoint/node/admin_service.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "hemlockpoint/http/server.h"
 
@@ -23,6 +24,8 @@
 struct AdminResponse {
   unsigned m_status = 200;
   std::string m_content_type = "application/json";
+  /// Further fields.
+  HeaderFields m_headers;
   std::string m_body;
 };
 
@@ -37,11 +40,15 @@
   /// @param method_and_path Such as "GET /metrics".
   void Add(const std::string& method_and_path, Handler handler);
 
-  /// @brief Serves one request on its connection's fiber.
+  /// @brief Sets what serves every other method and path.
+  void SetFallback(Handler handler) { m_fallback = std::move(handler); }
+
+  /// @brief Serves one request on its fiber.
   void Serve(HttpExchange& exchange) const;
 
  private:
   std::map<std::string, Handler> m_handlers;
+  Handler m_fallback;
 };
 
 /// @brief Splits "a=1&b=2", with percent-encoded parts (RFC 3986, 2.1).
--- a/src/hemlockpoint/node/membership_client.cc
+++ b/src/hemlockpoint/node/membership_client.cc
@@ -1,15 +1,14 @@
 #include "hemlockpoint/node/membership_client.h"
 
+#include <utility>
+
 #include "hemlockpoint/log/log.h"
 #include "hemlockpoint/membership/directory.h"
-#include "hemlockpoint/membership/member_view.h"
 
 namespace hemlockpoint {
 
 namespace {
 
-// An isolated leader can't prove its majority for longer than this.
-constexpr Millis kLeaderProofFor(2000);
 constexpr Millis kLinkTimeout(400);
 constexpr Millis kFirstMembersWithin(400);
 constexpr Millis kInterestFor(600'000);
@@ -18,19 +17,25 @@
 
 }  // namespace
 
-MembershipClient::MembershipClient(NodeCore& core, TargetGate& gate)
-    : m_core(core),
-      m_gate(gate),
-      m_control(core.m_settings.m_control_hosts.front().m_peer),
-      m_asked_since(SteadyNow()) {}
+MembershipClient::MembershipClient(FiberLoop& loop,
+                                   LinkLayer& links,
+                                   std::vector<Endpoint> seeds,
+                                   MembershipHooks hooks)
+    : m_loop(loop), m_links(links), m_hooks(std::move(hooks)) {
+  SetSeeds(std::move(seeds));
+}
+
+void MembershipClient::SetSeeds(std::vector<Endpoint> seeds) {
+  hemlockpoint::SetSeeds(m_hosts, std::move(seeds), SteadyNow());
+}
 
 void MembershipClient::Run() {
-  while (!m_core.m_loop.stopping()) {
+  while (!m_loop.stopping()) {
     Beat();
     ForgetIdleInterests();
     m_beat_soon = false;
     (void)m_changed.WaitUntil(SteadyNow() + kHeartbeatPeriod, [this] {
-      return m_beat_soon || m_core.m_loop.stopping();
+      return m_beat_soon || m_loop.stopping();
     });
   }
 }
@@ -41,48 +46,39 @@
 }
 
 bool MembershipClient::has_leader() const {
-  return SteadyNow() - m_last_good_ack < kLeaderProofFor;
+  return HasLeader(m_hosts, SteadyNow());
 }
 
 void MembershipClient::Beat() {
   const Millis now = SteadyNow();
-  const Millis silent_since = Max(m_last_good_ack, m_asked_since);
-  if (now - silent_since > kLeaderProofFor) {
+  if (m_had_leader && !HasLeader(m_hosts, now)) {
+    m_had_leader = false;
+    LogLine(LogLevel::kWarning, "leader_lost")
+        .With("asked", ToText(m_hosts.m_current))
+        .With("proof_age_ms", (now - m_hosts.m_last_proof).value());
+  }
+  if (IsHostSilent(m_hosts, now)) {
     TryNextHost();
   }
   const Result<LinkId> link =
-      m_core.m_links->LinkTo(m_control, now + kLinkTimeout);
+      m_links.LinkTo(m_hosts.m_current, now + kLinkTimeout);
   if (!link) {
     TryNextHost();
     return;
   }
-  m_core.m_links->Send(*link, MakeHeartbeat());
+  m_links.Send(*link, MakeHeartbeat());
 }
 
 void MembershipClient::TryNextHost() {
-  const auto& hosts = m_core.m_settings.m_control_hosts;
-  if (hosts.size() > 1) {
-    m_core.m_links->CloseTo(m_control);
-  }
-  m_next_host = (m_next_host + 1) % hosts.size();
-  m_control = hosts[m_next_host].m_peer;
-  m_asked_since = SteadyNow();
+  m_links.CloseTo(m_hosts.m_current);
+  AskNextHost(m_hosts, SteadyNow());
   LogLine(LogLevel::kInfo, "control_host_tried")
-      .With("peer", ToText(m_control));
+      .With("peer", ToText(m_hosts.m_current));
 }
 
 Heartbeat MembershipClient::MakeHeartbeat() const {
-  const Settings& settings = m_core.m_settings;
   Heartbeat heartbeat;
-  MemberEntry& member = heartbeat.m_member;
-  member.m_node = settings.m_node;
-  member.m_incarnation = m_core.m_incarnation;
-  member.m_peer = ToText(settings.m_peer);
-  member.m_admin = ToText(settings.m_admin);
-  member.m_region = settings.m_region;
-  member.m_failure_domain = settings.m_failure_domain;
-  member.m_target = m_gate.Summary();
-  member.m_revision = m_core.m_entry.m_policy->m_revision;
+  heartbeat.m_member = m_hooks.m_describe();
   for (const auto& [service, interest] : m_interests) {
     heartbeat.m_interests.push_back(service);
   }
@@ -92,26 +88,24 @@
 }
 
 bool MembershipClient::Handle(const HeartbeatAck& ack) {
-  if (ack.m_leading && ack.m_proof_age < kLeaderProofFor) {
-    m_last_good_ack = SteadyNow() - ack.m_proof_age;
-    return true;
-  }
-  const Result<Endpoint> leader = ParseEndpoint(ack.m_leader);
-  if (leader && !(*leader == m_control)) {
-    m_control = *leader;
-    m_asked_since = SteadyNow();
+  const Endpoint before = m_hosts.m_current;
+  const bool leads = TakeAck(m_hosts, ack, SteadyNow());
+  if (!(before == m_hosts.m_current)) {
     HeartbeatSoon();
   }
-  return false;
+  if (leads && !m_had_leader) {
+    m_had_leader = true;
+    LogLine(LogLevel::kInfo, "leader_found")
+        .With("peer", ToText(m_hosts.m_current));
+  }
+  return leads;
 }
 
 void MembershipClient::Handle(const DirectoryDelta& delta) {
-  const std::vector<std::string> stale = ApplyDelta(
-      m_core.m_members, m_core.m_entry.m_services, delta, SteadyNow());
-  for (const std::string& peer : stale) {
+  for (const std::string& peer : m_hooks.m_apply(delta)) {
     const Result<Endpoint> endpoint = ParseEndpoint(peer);
     if (endpoint) {
-      m_core.m_links->CloseTo(*endpoint);
+      m_links.CloseTo(*endpoint);
     }
   }
   m_origin = delta.m_origin;
@@ -119,35 +113,39 @@
   m_changed.Notify();
 }
 
-void MembershipClient::WantService(const ServiceName& service) {
+void MembershipClient::ExpectService(const ServiceName& service) {
   const Millis now = SteadyNow();
   const auto known = m_interests.find(service);
-  if (known == m_interests.end()) {
-    if (m_interests.size() >= kMaxInterests) {
-      return;
-    }
+  if (known != m_interests.end()) {
+    known->second.m_used = now;
+  } else if (m_interests.size() < kMaxInterests) {
     m_interests[service] = {now, now};
     HeartbeatSoon();
   }
-  Interest& interest = m_interests[service];
-  interest.m_used = now;
-  const Millis first_members_by = interest.m_asked + kFirstMembersWithin;
-  if (m_core.m_entry.m_services.count(service) == 0 && now < first_members_by) {
-    (void)m_changed.WaitUntil(first_members_by, [&] {
-      return m_core.m_entry.m_services.count(service) != 0;
-    });
+}
+
+void MembershipClient::WantService(const ServiceName& service) {
+  ExpectService(service);
+  const auto interest = m_interests.find(service);
+  if (interest == m_interests.end()) {
+    return;
+  }
+  const Millis first_members_by =
+      interest->second.m_asked + kFirstMembersWithin;
+  if (!m_hooks.m_knows(service) && SteadyNow() < first_members_by) {
+    (void)m_changed.WaitUntil(first_members_by,
+                              [&] { return m_hooks.m_knows(service); });
   }
 }
 
 void MembershipClient::ForgetIdleInterests() {
   const Millis now = SteadyNow();
   for (auto entry = m_interests.begin(); entry != m_interests.end();) {
-    const bool empty = m_core.m_entry.m_services.count(entry->first) == 0;
-    const Millis keep = empty ? kEmptyInterestFor : kInterestFor;
+    const Millis keep =
+        m_hooks.m_knows(entry->first) ? kInterestFor : kEmptyInterestFor;
     const bool idle = now - entry->second.m_used > keep;
     if (idle) {
-      // Nobody tells about its members any more.
-      m_core.m_entry.m_services.erase(entry->first);
+      m_hooks.m_forget(entry->first);
     }
     entry = idle ? m_interests.erase(entry) : std::next(entry);
   }
--- a/src/hemlockpoint/node/membership_client.h
+++ b/src/hemlockpoint/node/membership_client.h
@@ -1,20 +1,38 @@
 #ifndef HEMLOCKPOINT_NODE_MEMBERSHIP_CLIENT_H_
 #define HEMLOCKPOINT_NODE_MEMBERSHIP_CLIENT_H_
 
+#include <functional>
 #include <map>
-#include <optional>
 #include <string>
+#include <vector>
 
-#include "hemlockpoint/node/core.h"
-#include "hemlockpoint/node/target_gate.h"
+#include "hemlockpoint/membership/control_hosts.h"
+#include "hemlockpoint/runtime/fiber_event.h"
+#include "hemlockpoint/runtime/fiber_loop.h"
+#include "hemlockpoint/transport/link_layer.h"
 
 namespace hemlockpoint {
 
+/// @brief What the membership client needs of its node.
+struct MembershipHooks {
+  /// Describes the node and its target for others.
+  std::function<MemberEntry()> m_describe;
+  /// Takes in changes; returns peers whose links are stale.
+  std::function<std::vector<std::string>(const DirectoryDelta&)> m_apply;
+  /// Whether any member of a service is known.
+  std::function<bool(const ServiceName&)> m_knows;
+  /// Drops a service whose members nobody tells about any more.
+  std::function<void(const ServiceName&)> m_forget;
+};
+
 /// @brief Keeps this node's lease at the leader of the control group and
 /// takes in the directory that it pushes.
 class MembershipClient {
  public:
-  MembershipClient(NodeCore& core, TargetGate& gate);
+  MembershipClient(FiberLoop& loop,
+                   LinkLayer& links,
+                   std::vector<Endpoint> seeds,
+                   MembershipHooks hooks);
 
   /// @brief Sends heartbeats until the loop stops; runs on a fiber.
   void Run();
@@ -22,10 +40,16 @@
   /// @brief Sends a heartbeat soon, because something has changed.
   void HeartbeatSoon();
 
+  /// @brief Takes other seeds into account from now on.
+  void SetSeeds(std::vector<Endpoint> seeds);
+
   /// @return Whether the answer came from a leader with fresh proof.
   bool Handle(const HeartbeatAck& ack);
   void Handle(const DirectoryDelta& delta);
 
+  /// @brief Makes a service known whose members this node will need.
+  void ExpectService(const ServiceName& service);
+
   /// @brief Makes a service known and waits a moment for its members, the
   /// first time that it is called here; used on a fiber.
   void WantService(const ServiceName& service);
@@ -34,7 +58,9 @@
   [[nodiscard]] bool has_leader() const;
 
   /// @return Peer endpoint of the control host that is asked now.
-  [[nodiscard]] const Endpoint& control_endpoint() const { return m_control; }
+  [[nodiscard]] const Endpoint& control_endpoint() const {
+    return m_hosts.m_current;
+  }
 
  private:
   // A service that is called here.
@@ -48,17 +74,16 @@
   void TryNextHost();
   void ForgetIdleInterests();
 
-  NodeCore& m_core;
-  TargetGate& m_gate;
-  Endpoint m_control;
-  std::size_t m_next_host = 0;
-  Millis m_last_good_ack{-1e12};
-  Millis m_asked_since;
+  FiberLoop& m_loop;
+  LinkLayer& m_links;
+  MembershipHooks m_hooks;
+  ControlHosts m_hosts;
   std::string m_origin;
   std::uint64_t m_version = 0;
   std::map<ServiceName, Interest> m_interests;
   FiberEvent m_changed;
   bool m_beat_soon = false;
+  bool m_had_leader = false;
 };
 
 }  // namespace hemlockpoint
--- a/src/hemlockpoint/node/node.cc
+++ b/src/hemlockpoint/node/node.cc
@@ -6,6 +6,7 @@
 #include "hemlockpoint/control/control_service.h"
 #include "hemlockpoint/http/server.h"
 #include "hemlockpoint/log/log.h"
+#include "hemlockpoint/membership/member_view.h"
 #include "hemlockpoint/node/admin_service.h"
 #include "hemlockpoint/node/claim_service.h"
 #include "hemlockpoint/node/control_operations.h"
@@ -45,6 +46,28 @@
   return hello;
 }
 
+std::vector<Endpoint> PeersOf(const Settings& settings) {
+  std::vector<Endpoint> peers;
+  for (const ControlHost& host : settings.m_control_hosts) {
+    peers.push_back(host.m_peer);
+  }
+  return peers;
+}
+
+MemberEntry DescribeNode(const NodeCore& core, const TargetGate& gate) {
+  const Settings& settings = core.m_settings;
+  MemberEntry member;
+  member.m_node = settings.m_node;
+  member.m_incarnation = core.m_incarnation;
+  member.m_peer = ToText(settings.m_peer);
+  member.m_admin = ToText(settings.m_admin);
+  member.m_region = settings.m_region;
+  member.m_failure_domain = settings.m_failure_domain;
+  member.m_target = gate.Summary();
+  member.m_revision = core.m_entry.m_policy->m_revision;
+  return member;
+}
+
 }  // namespace
 
 struct Node::State {
@@ -64,7 +87,7 @@
         m_keyed(m_core, m_claims),
         m_policy(m_core),
         m_gate(m_core, m_keyed),
-        m_membership(m_core, m_gate),
+        m_membership(loop, m_links, PeersOf(settings), Hooks()),
         m_entry(m_core,
                 m_gate,
                 [this](const ServiceName& service) {
@@ -86,6 +109,20 @@
     AddOperations();
   }
 
+  MembershipHooks Hooks() {
+    return {[this] { return DescribeNode(m_core, m_gate); },
+            [this](const DirectoryDelta& delta) {
+              return ApplyDelta(m_core.m_members, m_core.m_entry.m_services,
+                                delta, SteadyNow());
+            },
+            [this](const ServiceName& service) {
+              return m_core.m_entry.m_services.count(service) != 0;
+            },
+            [this](const ServiceName& service) {
+              m_core.m_entry.m_services.erase(service);
+            }};
+  }
+
   void ServeCall(InboundCall call) {
     m_loop.Spawn([this, shared = std::make_shared<InboundCall>(std::move(
                             call))] { m_gate.Serve(std::move(*shared)); });
--- a/src/hemlockpoint/outcome/refusal.cc
+++ b/src/hemlockpoint/outcome/refusal.cc
@@ -53,6 +53,9 @@
     {"key_mismatch", kUnprocessable},
     {"key_result_lost", kConflict},
     {"policy_unknown", kUnavailable},
+    {"no_route", kNotFound},
+    {"target_refused", kUnavailable},
+    {"answer_broken", kBadGateway},
 }};
 
 }  // namespace
@@ -115,6 +118,8 @@
     case Reason::kQueueFull:
     case Reason::kDeadlineUnreachable:
     case Reason::kNodeOverloaded:
+    case Reason::kNoTarget:
+    case Reason::kTargetRefused:
       return true;
     default:
       return false;
--- a/src/hemlockpoint/outcome/refusal.h
+++ b/src/hemlockpoint/outcome/refusal.h
@@ -55,10 +55,16 @@
   kKeyMismatch,
   kKeyResultLost,
   kPolicyUnknown,
+  /// No route of the document leads anywhere for this host and path.
+  kNoRoute,
+  /// The target said that it has not run the call.
+  kTargetRefused,
+  /// The target's answer broke off or was not one.
+  kAnswerBroken,
 };
 
 inline constexpr std::size_t kReasonCount =
-    static_cast<std::size_t>(Reason::kPolicyUnknown) + 1;
+    static_cast<std::size_t>(Reason::kAnswerBroken) + 1;
 
 /// @brief The rule of the policy document behind an operator's decision.
 struct RuleReference {
--- /dev/null
+++ b/src/hemlockpoint/relay/core.h
@@ -0,0 +1,57 @@
+#ifndef HEMLOCKPOINT_RELAY_CORE_H_
+#define HEMLOCKPOINT_RELAY_CORE_H_
+
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <string>
+
+#include "hemlockpoint/config/settings.h"
+#include "hemlockpoint/dispatch/repeat_window.h"
+#include "hemlockpoint/dispatch/target_choice.h"
+#include "hemlockpoint/quarantine/quarantine.h"
+#include "hemlockpoint/relay/dialect.h"
+#include "hemlockpoint/relay/metrics.h"
+#include "hemlockpoint/routes/route_table.h"
+#include "hemlockpoint/runtime/fiber_loop.h"
+#include "hemlockpoint/transport/link_layer.h"
+
+namespace hemlockpoint {
+
+/// @brief State that the parts of a node in route mode share; one thread uses
+/// it.
+struct RelayCore {
+  RelayCore(const Settings& settings, const Dialect& dialect, FiberLoop& loop);
+
+  /// @return Uniform in [0, 1).
+  [[nodiscard]] double Random();
+
+  Settings m_settings;
+  const Dialect& m_dialect;
+  FiberLoop& m_loop;
+  /// Grows with each start of the process.
+  std::uint64_t m_incarnation;
+  pcg64 m_random;
+  /// Null until a leader has told the document.
+  std::shared_ptr<const RouteTable> m_table;
+  std::map<NodeId, MemberEntry> m_members;
+  std::map<ServiceName, TargetPeers> m_services;
+  std::map<ServiceName, RepeatWindow> m_repeats;
+  QuarantineTable m_quarantine;
+  RelayMetrics m_metrics;
+  /// Set before the parts run; outlives them.
+  LinkLayer* m_links = nullptr;
+  /// Requests that have entered here and not ended.
+  std::size_t m_entry_calls = 0;
+  std::size_t m_body_bytes = 0;
+  bool m_leaving = false;
+};
+
+/// @brief Applies a change of the directory to what a node knows.
+/// @return Peers whose links are stale.
+std::vector<std::string> ApplyMembers(RelayCore& core,
+                                      const DirectoryDelta& delta);
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_RELAY_CORE_H_
--- /dev/null
+++ b/src/hemlockpoint/relay/metrics.cc
@@ -0,0 +1,85 @@
+#include "hemlockpoint/relay/metrics.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace hemlockpoint {
+
+namespace {
+
+void Put(std::ostringstream& text,
+         const char* name,
+         const char* type,
+         double value) {
+  text << "# TYPE hemlockpoint_" << name << ' ' << type << "\nhemlockpoint_"
+       << name << ' ' << value << '\n';
+}
+
+void Put(std::ostringstream& text,
+         const char* name,
+         const LatencyHistogram& histogram) {
+  text << "# TYPE hemlockpoint_" << name << " histogram\n";
+  std::uint64_t total = 0;
+  for (std::size_t i = 0; i < histogram.m_counts.size(); ++i) {
+    total += histogram.m_counts[i];
+    text << "hemlockpoint_" << name << "_bucket{le=\"";
+    if (i < LatencyHistogram::kBounds.size()) {
+      text << LatencyHistogram::kBounds[i];
+    } else {
+      text << "+Inf";
+    }
+    text << "\"} " << total << '\n';
+  }
+  text << "hemlockpoint_" << name << "_sum " << histogram.m_sum
+       << "\nhemlockpoint_" << name << "_count " << total << '\n';
+}
+
+}  // namespace
+
+void Record(LatencyHistogram& histogram, Millis duration) {
+  const auto& bounds = LatencyHistogram::kBounds;
+  const auto bucket =
+      std::lower_bound(bounds.begin(), bounds.end(), duration.value());
+  ++histogram.m_counts[static_cast<std::size_t>(bucket - bounds.begin())];
+  histogram.m_sum += duration.value();
+}
+
+std::string MetricsText(const RelayMetrics& metrics,
+                        const RelayGauges& gauges) {
+  std::ostringstream text;
+  const auto count = [&](const char* name, std::uint64_t value) {
+    Put(text, name, "counter", static_cast<double>(value));
+  };
+  count("requests_total", metrics.m_requests);
+  count("answers_total", metrics.m_answers);
+  count("callers_gone_total", metrics.m_callers_gone);
+  count("dispatched_total", metrics.m_dispatched);
+  count("foreign_answers_total", metrics.m_foreign_answers);
+  count("repeats_total", metrics.m_repeats);
+  count("repeats_denied_total", metrics.m_repeats_denied);
+  count("reroutes_total", metrics.m_reroutes);
+  count("crossings_total", metrics.m_crossings);
+  text << "# TYPE hemlockpoint_refusals_total counter\n";
+  for (std::size_t i = 0; i < metrics.m_refusals.size(); ++i) {
+    if (metrics.m_refusals[i] != 0) {
+      text << "hemlockpoint_refusals_total{reason=\""
+           << ToText(static_cast<Reason>(i)) << "\"} " << metrics.m_refusals[i]
+           << '\n';
+    }
+  }
+  Put(text, "request_ms", metrics.m_request_time);
+  Put(text, "wait_ms", metrics.m_wait_time);
+  Put(text, "service_ms", metrics.m_service_time);
+  Put(text, "entry_calls", "gauge", gauges.m_entry_calls);
+  Put(text, "running", "gauge", gauges.m_running);
+  Put(text, "waiting", "gauge", gauges.m_waiting);
+  Put(text, "slots", "gauge", gauges.m_slots);
+  Put(text, "document_version", "gauge", gauges.m_document_version);
+  Put(text, "members", "gauge", gauges.m_members);
+  Put(text, "links", "gauge", gauges.m_links);
+  Put(text, "body_bytes", "gauge", gauges.m_body_bytes);
+  Put(text, "leads", "gauge", gauges.m_leads);
+  return text.str();
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/relay/relay_node.cc
@@ -0,0 +1,382 @@
+#include "hemlockpoint/relay/relay_node.h"
+
+#include <utility>
+
+#include "hemlockpoint/control/control_service.h"
+#include "hemlockpoint/documents/document_delta.h"
+#include "hemlockpoint/http/server.h"
+#include "hemlockpoint/log/log.h"
+#include "hemlockpoint/node/admin_service.h"
+#include "hemlockpoint/node/membership_client.h"
+#include "hemlockpoint/relay/core.h"
+#include "hemlockpoint/relay/route_entry.h"
+#include "hemlockpoint/relay/slot_gate.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+// A stop is noticed by those who ask for readiness once a second, twice.
+constexpr Millis kNoticeFor(2300);
+constexpr Millis kDrainPoll(20);
+constexpr Millis kCloseTimeout(300);
+constexpr Millis kProofLimit(2000);
+
+HttpServerLimits OutsideLimits(const Settings& settings) {
+  HttpServerLimits limits;
+  limits.m_header_bytes = settings.m_limits.m_header_bytes;
+  limits.m_body_bytes = AdminService::kMaxBodyBytes;
+  limits.m_connections = settings.m_limits.m_connections;
+  return limits;
+}
+
+HttpServerLimits CallerLimitsOf(const Settings& settings,
+                                const CallerBounds& bounds) {
+  HttpServerLimits limits;
+  limits.m_header_bytes = settings.m_limits.m_header_bytes;
+  limits.m_body_bytes = settings.m_limits.m_body_bytes;
+  limits.m_connections = settings.m_limits.m_connections;
+  if (bounds.m_header_bytes > 0) {
+    limits.m_header_bytes = static_cast<std::uint32_t>(bounds.m_header_bytes);
+  }
+  if (bounds.m_body_bytes > 0) {
+    limits.m_body_bytes = bounds.m_body_bytes;
+  }
+  if (bounds.m_head_timeout > Millis(0)) {
+    limits.m_head_timeout = bounds.m_head_timeout;
+  }
+  limits.m_idle_timeout = bounds.m_idle_timeout;
+  return limits;
+}
+
+Hello HelloOf(const RelayCore& core) {
+  Hello hello;
+  hello.m_group = core.m_settings.m_group;
+  hello.m_node = core.m_settings.m_node;
+  hello.m_incarnation = core.m_incarnation;
+  return hello;
+}
+
+}  // namespace
+
+struct RelayNode::State {
+  State(const Settings& settings, const Dialect& dialect, FiberLoop& loop)
+      : m_loop(loop),
+        m_core(settings, dialect, loop),
+        m_links(loop,
+                HelloOf(m_core),
+                settings.m_limits.m_calls,
+                {[this](InboundCall call) { ServeCall(std::move(call)); },
+                 [this](LinkId link, const NodeId&, const Message& message) {
+                   std::visit([&](const auto& value) { On(link, value); },
+                              message);
+                 },
+                 [this](LinkId link, const NodeId&) {
+                   if (m_control) {
+                     m_control->OnLinkClosed(link);
+                   }
+                 }}),
+        m_gate(m_core),
+        m_membership(loop, m_links, settings.m_seeds, Hooks()),
+        m_entry(m_core,
+                m_gate,
+                [this](const ServiceName& service) {
+                  m_membership.WantService(service);
+                }),
+        m_http(loop,
+               CallerLimitsOf(settings, {}),
+               [this](HttpExchange& exchange) { m_entry.Serve(exchange); }),
+        m_outside_http(loop,
+                       OutsideLimits(settings),
+                       [this](HttpExchange& exchange) {
+                         m_outside.Serve(exchange);
+                       }),
+        m_ready_http(
+            loop,
+            OutsideLimits(settings),
+            [this](HttpExchange& exchange) { m_ready.Serve(exchange); }),
+        m_admin_http(
+            loop,
+            OutsideLimits(settings),
+            [this](HttpExchange& exchange) { m_admin.Serve(exchange); }) {
+    m_core.m_links = &m_links;
+    m_gate.OnChange([this] { m_membership.HeartbeatSoon(); });
+    if (settings.m_is_control) {
+      m_control = std::make_unique<ControlService>(
+          m_core.m_settings, loop, m_links,
+          [&dialect](const std::string& text) {
+            return dialect.m_read_document(text);
+          });
+    }
+    AddOperations();
+  }
+
+  MembershipHooks Hooks() {
+    return {[this] { return Describe(); },
+            [this](const DirectoryDelta& delta) {
+              return ApplyMembers(m_core, delta);
+            },
+            [this](const ServiceName& service) {
+              const auto known = m_core.m_services.find(service);
+              return known != m_core.m_services.end() &&
+                     !known->second.empty();
+            },
+            [this](const ServiceName& service) {
+              m_core.m_services.erase(service);
+            }};
+  }
+
+  MemberEntry Describe() const {
+    const Settings& settings = m_core.m_settings;
+    MemberEntry member;
+    member.m_node = settings.m_node;
+    member.m_incarnation = m_core.m_incarnation;
+    member.m_peer = ToText(settings.m_peer);
+    member.m_failure_domain = settings.m_failure_domain;
+    member.m_target = m_gate.Summary();
+    if (m_core.m_table) {
+      member.m_document = m_core.m_table->m_document.m_version;
+    }
+    return member;
+  }
+
+  void ServeCall(InboundCall call) {
+    m_loop.Spawn(
+        [this, shared = std::make_shared<InboundCall>(std::move(call))] {
+          m_gate.Serve(std::move(*shared));
+        });
+  }
+
+  // Parts of calls, and what only policy mode knows, never come this way.
+  template <typename Other>
+  void On(LinkId, const Other&) {}
+
+  void On(LinkId, const HeartbeatAck& ack) {
+    if (m_control) {
+      m_control->Handle(ack);
+    }
+    if (m_core.m_settings.m_is_node) {
+      (void)m_membership.Handle(ack);
+    }
+  }
+  void On(LinkId, const DirectoryDelta& delta) { m_membership.Handle(delta); }
+  void On(LinkId, const DocumentPush& push) { TakeDocument(push); }
+  void On(LinkId link, const Heartbeat& m) { ToControl(link, m); }
+  void On(LinkId link, const HostBeat& m) { ToControl(link, m); }
+  void On(LinkId link, const GroupInit& m) { ToControl(link, m); }
+  void On(LinkId link, const InstanceQuery& m) { ToControl(link, m); }
+  void On(LinkId link, const VoteRequest& m) { ToGroup(link, m); }
+  void On(LinkId link, const VoteReply& m) { ToGroup(link, m); }
+  void On(LinkId link, const AppendRequest& m) { ToGroup(link, m); }
+  void On(LinkId link, const AppendReply& m) { ToGroup(link, m); }
+  void On(LinkId link, const SnapshotRequest& m) { ToGroup(link, m); }
+
+  template <typename Type>
+  void ToControl(LinkId link, const Type& message) {
+    if (m_control) {
+      m_control->Handle(link, message);
+    }
+  }
+
+  void ToGroup(LinkId link, const RaftMessage& message) {
+    if (m_control) {
+      m_control->Handle(link, message);
+    }
+  }
+
+  void TakeDocument(const DocumentPush& push) {
+    const RouteDocument* current =
+        m_core.m_table ? &m_core.m_table->m_document : nullptr;
+    if (push.m_proof_age > kProofLimit) {
+      return;
+    }
+    auto document = ApplyDocumentPush(current, push);
+    if (!document) {
+      return;
+    }
+    LogLine(LogLevel::kInfo, "document_in_force")
+        .With("version", document->m_version.value())
+        .With("before", current ? current->m_version.value() : 0)
+        .With("routes", static_cast<std::uint64_t>(document->m_routes.size()))
+        .With("changed", static_cast<std::uint64_t>(push.m_changed.size()));
+    m_core.m_table = MakeRouteTable(std::move(*document));
+    m_http.SetLimits(CallerLimitsOf(m_core.m_settings,
+                                    m_core.m_table->m_document.m_bounds));
+    for (const RouteService& service : m_core.m_table->m_document.m_services) {
+      m_membership.ExpectService(service.m_name);
+    }
+    m_membership.HeartbeatSoon();
+  }
+
+  bool IsReady() const {
+    return m_core.m_table && !m_core.m_leaving && !m_core.m_services.empty();
+  }
+
+  void AddOperations() {
+    m_outside.SetFallback([this](const AdminRequest& request) {
+      return m_core.m_dialect.m_serve_outside(request, Operations());
+    });
+    m_ready.SetFallback([this](const AdminRequest& request) {
+      return m_core.m_dialect.m_serve_ready(request, IsReady());
+    });
+    m_admin.Add("GET /metrics", [this](const AdminRequest&) {
+      AdminResponse response;
+      response.m_content_type = "text/plain; version=0.0.4";
+      response.m_body = MetricsText(m_core.m_metrics, Gauges());
+      return response;
+    });
+  }
+
+  RelayGauges Gauges() const {
+    RelayGauges gauges;
+    gauges.m_entry_calls = static_cast<double>(m_core.m_entry_calls);
+    gauges.m_running = static_cast<double>(m_gate.queue().m_running);
+    gauges.m_waiting = static_cast<double>(m_gate.queue().m_waiting.size());
+    gauges.m_slots = static_cast<double>(m_gate.queue().m_slots);
+    if (m_core.m_table) {
+      gauges.m_document_version =
+          static_cast<double>(m_core.m_table->m_document.m_version.value());
+    }
+    gauges.m_members = static_cast<double>(m_core.m_members.size());
+    gauges.m_links = static_cast<double>(m_links.links());
+    gauges.m_body_bytes = static_cast<double>(m_core.m_body_bytes);
+    gauges.m_leads = m_control && m_control->group().is_leader() ? 1 : 0;
+    return gauges;
+  }
+
+  OutsideOperations Operations() {
+    OutsideOperations operations;
+    if (m_core.m_settings.m_is_node) {
+      operations.m_report = [this](const TargetReport& report) {
+        m_gate.Report(report);
+      };
+      operations.m_withdraw = [this](const TargetWithdrawal& withdrawal) {
+        m_gate.Withdraw(withdrawal);
+      };
+    }
+    if (m_control) {
+      operations.m_change_document = [this](DocumentChange change) {
+        return m_control->documents().Change(std::move(change));
+      };
+      operations.m_read_document = [this] {
+        return m_control->documents().Read();
+      };
+    }
+    return operations;
+  }
+
+  std::optional<std::string> Start() {
+    const Settings& settings = m_core.m_settings;
+    std::optional<std::string> error;
+    if (m_control) {
+      error = m_control->Start();
+    }
+    if (!error) {
+      error = m_links.Listen(settings.m_peer);
+    }
+    if (!error) {
+      error = m_outside_http.Listen(settings.m_outside);
+    }
+    if (!error) {
+      error = m_admin_http.Listen(settings.m_admin);
+    }
+    if (!error && settings.m_is_node) {
+      error = m_ready_http.Listen(settings.m_ready);
+    }
+    if (!error && settings.m_is_node) {
+      error = m_http.Listen(settings.m_http);
+    }
+    if (error || !settings.m_is_node) {
+      return error;
+    }
+    m_loop.Spawn([this] { m_membership.Run(); });
+    m_loop.Spawn([this] { m_gate.ProbeUntilKnown(); });
+    m_loop.SpawnPeriodic(SlotGate::kTickPeriod, [this] { m_gate.Tick(); });
+    return std::nullopt;
+  }
+
+  bool InFlight() const {
+    return m_core.m_entry_calls > 0 || m_gate.calls() > 0;
+  }
+
+  void AwaitIdle(Millis give_up) const {
+    while (InFlight() && SteadyNow() < give_up) {
+      SleepFor(kDrainPoll);
+    }
+  }
+
+  void DrainAndStop() {
+    const Millis give_up = SteadyNow() + m_core.m_settings.m_drain_timeout;
+    LogLine(LogLevel::kInfo, "draining")
+        .With("entry_calls", static_cast<std::uint64_t>(m_core.m_entry_calls))
+        .With("target_calls", static_cast<std::uint64_t>(m_gate.calls()));
+    m_core.m_leaving = true;
+    if (m_core.m_settings.m_is_node) {
+      m_gate.BeginLeaving();
+      m_membership.HeartbeatSoon();
+      m_http.CloseAfterResponses();
+      SleepFor(Min(kNoticeFor, m_core.m_settings.m_drain_timeout));
+      m_http.Drain();
+      AwaitIdle(give_up);
+    }
+    LogLine(LogLevel::kInfo, "drained")
+        .With("cut_off", static_cast<std::uint64_t>(m_core.m_entry_calls +
+                                                    m_gate.calls()));
+    m_outside_http.Drain();
+    m_ready_http.Drain();
+    m_admin_http.Drain();
+    m_links.Shutdown();
+    const Millis closed_by = SteadyNow() + kCloseTimeout;
+    while (m_links.links() > 0 && SteadyNow() < closed_by) {
+      SleepFor(kDrainPoll);
+    }
+    m_loop.Stop();
+    m_membership.HeartbeatSoon();
+  }
+
+  void Reload(const Settings& settings) {
+    m_core.m_settings.m_seeds = settings.m_seeds;
+    m_core.m_settings.m_repeats = settings.m_repeats;
+    m_membership.SetSeeds(settings.m_seeds);
+    if (m_control) {
+      m_control->keeper().SetSeeds(settings.m_seeds);
+    }
+    SetLogLevel(settings.m_log_level);
+  }
+
+  FiberLoop& m_loop;
+  RelayCore m_core;
+  LinkLayer m_links;
+  SlotGate m_gate;
+  MembershipClient m_membership;
+  RouteEntry m_entry;
+  AdminService m_outside;
+  AdminService m_ready;
+  AdminService m_admin;
+  HttpServer m_http;
+  HttpServer m_outside_http;
+  HttpServer m_ready_http;
+  HttpServer m_admin_http;
+  std::unique_ptr<ControlService> m_control;
+};
+
+RelayNode::RelayNode(const Settings& settings,
+                     const Dialect& dialect,
+                     FiberLoop& loop)
+    : m_state(std::make_unique<State>(settings, dialect, loop)) {}
+
+RelayNode::~RelayNode() = default;
+
+std::optional<std::string> RelayNode::Start() {
+  return m_state->Start();
+}
+
+void RelayNode::Reload(const Settings& settings) {
+  m_state->Reload(settings);
+}
+
+void RelayNode::DrainAndStop() {
+  m_state->DrainAndStop();
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/relay/route_attempts.cc
@@ -0,0 +1,251 @@
+// Which target a request is sent to, and whether to another.
+
+#include <algorithm>
+#include <utility>
+
+#include "hemlockpoint/log/log.h"
+#include "hemlockpoint/relay/route_entry.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr Millis kLinkTimeout(500);
+// Time after the deadline in which the target's node can still say how the
+// call has ended.
+constexpr Millis kLastWord(120);
+// Nodes that may refuse a request, one after the other, before any target
+// has it; each costs a round trip.
+constexpr std::size_t kMaxReroutes = 4;
+// Bytes of a body that go with the start of a call.
+constexpr std::size_t kFirstBodyBytes = std::size_t{512} * 1024;
+// Time for which a node that can't be reached is passed over.
+constexpr Millis kAvoidUnreachable(1000);
+constexpr Millis kAvoidLeaving(500);
+constexpr Millis kRetryWithoutTarget(500);
+// Share of a request's worth that a KiB to another failure domain costs, and
+// the answer's bytes while none is known.
+constexpr double kCrossingCostPerKib = 0.02;
+constexpr double kUsualAnswerBytes = 2048;
+// Part of the repeats allowed to all nodes that a node spends by itself:
+// requests spread unevenly, and a repeat's own calls count as repeats too.
+constexpr double kRepeatRatioPart = 0.25;
+constexpr double kRepeatSlackPart = 0.3;
+
+}  // namespace
+
+RepeatShare RouteEntry::ShareOf(const ServiceName&) const {
+  const RepeatBounds& bounds = m_core.m_settings.m_repeats;
+  RepeatShare share;
+  share.m_window = bounds.m_window;
+  share.m_ratio = bounds.m_ratio * kRepeatRatioPart;
+  const auto nodes = static_cast<double>(m_core.m_members.size() + 1);
+  share.m_slack = bounds.m_slack * kRepeatSlackPart / nodes;
+  return share;
+}
+
+std::optional<NodeId> RouteEntry::NextTarget(const EntryCall& call) {
+  const auto peers = m_core.m_services.find(call.m_service);
+  if (peers == m_core.m_services.end()) {
+    return std::nullopt;
+  }
+  const Millis now = SteadyNow();
+  ChoiceTerms terms;
+  terms.m_objective_left = call.m_objective - now;
+  terms.m_bytes = static_cast<double>(call.m_body.size()) + kUsualAnswerBytes;
+  terms.m_cost_per_kib = kCrossingCostPerKib;
+  return ChooseTargetPeer(peers->second, call.m_tried, terms, m_core.Random(),
+                          now);
+}
+
+std::optional<Refusal> RouteEntry::Send(EntryCall& call,
+                                        HttpExchange& exchange) {
+  m_want_service(call.m_service);
+  std::optional<Refusal> last;
+  std::size_t reroutes = 0;
+  while (!call.m_caller_gone) {
+    const auto node = NextTarget(call);
+    if (!node) {
+      if (!last) {
+        last = RefuseBySignal(Reason::kNoTarget, {"targets", 0, 1});
+        last->m_retry_after = kRetryWithoutTarget;
+      }
+      break;
+    }
+    const Millis sent = SteadyNow();
+    AttemptEnd end = TryTarget(call, *node);
+    RecordEnd(call, *node, end, sent);
+    if (end.m_answer) {
+      RelayAnswer(call, *end.m_answer, exchange);
+      return std::nullopt;
+    }
+    last = std::move(end.m_refusal);
+    call.m_tried.push_back(*node);
+    const bool not_run = last->m_execution == Execution::kNotRun;
+    call.m_any_unknown = call.m_any_unknown || !not_run;
+    const bool arrived = !not_run || last->m_reason == Reason::kTargetRefused;
+    call.m_attempts += arrived ? 1 : 0;
+    if (arrived ? !MayRepeat(call, *last)
+                : ++reroutes > kMaxReroutes || !IsWorthAnotherTarget(*last)) {
+      break;
+    }
+    ++(arrived ? m_core.m_metrics.m_repeats : m_core.m_metrics.m_reroutes);
+    LogLine(LogLevel::kInfo, arrived ? "request_repeated" : "request_rerouted")
+        .With("request_id", call.m_terms.m_id.value())
+        .With("refused_by", node->value())
+        .With("reason", ToText(last->m_reason));
+  }
+  if (last && call.m_any_unknown) {
+    last->m_execution = Execution::kUnknown;
+    if (last->m_reason != Reason::kDeadlinePassed) {
+      last->m_reason = Reason::kTargetLost;
+    }
+  }
+  return last;
+}
+
+// A request that reached a target goes to another one only if it may run
+// twice, or the first has said that it hasn't run it.
+bool RouteEntry::MayRepeat(EntryCall& call, const Refusal& refusal) {
+  const bool idempotent = call.m_route->m_kind == WorkKind::kSafe;
+  const bool not_run = refusal.m_execution == Execution::kNotRun;
+  const Millis now = SteadyNow();
+  const bool allowed = (idempotent || not_run) &&
+                       refusal.m_reason != Reason::kDeadlinePassed &&
+                       call.m_attempts < call.m_route->m_max_attempts &&
+                       now < call.m_deadline;
+  if (!allowed) {
+    return false;
+  }
+  if (!TakeRepeat(m_core.m_repeats[call.m_service], ShareOf(call.m_service),
+                  now)) {
+    ++m_core.m_metrics.m_repeats_denied;
+    return false;
+  }
+  return true;
+}
+
+CallStart RouteEntry::MakeStart(const EntryCall& call) const {
+  const Millis now = SteadyNow();
+  CallStart start;
+  CallTerms& terms = start.m_terms;
+  terms.m_root = call.m_terms.m_id;
+  terms.m_caller = CallerName(m_core.m_settings.m_target.m_service.value());
+  terms.m_class = call.m_route->m_rank;
+  terms.m_idempotent = call.m_route->m_kind == WorkKind::kSafe;
+  terms.m_route = call.m_route->m_name.value();
+  terms.m_time_left = call.m_deadline - now;
+  terms.m_objective_left = call.m_objective - now;
+  start.m_request = call.m_head;
+  start.m_body.m_data = call.m_body.substr(0, kFirstBodyBytes);
+  start.m_complete = call.m_body.size() <= kFirstBodyBytes;
+  return start;
+}
+
+Result<OutboundCall> RouteEntry::Open(EntryCall& call, const NodeId& node) {
+  CallStart start = MakeStart(call);
+  if (node == m_core.m_settings.m_node) {
+    LocalCall local = MakeLocalCall(std::move(start));
+    m_core.m_loop.Spawn(
+        [this, inbound = std::make_shared<InboundCall>(
+                   std::move(local.m_inbound))] {
+          m_gate.Serve(std::move(*inbound));
+        });
+    return std::move(local.m_outbound);
+  }
+  TargetPeer& peer = m_core.m_services[call.m_service][node];
+  m_core.m_metrics.m_crossings += peer.m_same_domain ? 0 : 1;
+  const Result<LinkId> link = m_core.m_links->LinkTo(
+      peer.m_peer, Min(SteadyNow() + kLinkTimeout, call.m_deadline));
+  if (!link) {
+    return Result<OutboundCall>::Failure(link.reason());
+  }
+  return m_core.m_links->StartCall(*link, std::move(start));
+}
+
+RouteEntry::AttemptEnd RouteEntry::TryTarget(EntryCall& call,
+                                             const NodeId& node) {
+  TargetPeer& peer = m_core.m_services[call.m_service][node];
+  ++peer.m_outstanding;
+  ++peer.m_sent_since_report;
+  AttemptEnd end;
+  auto opened = Open(call, node);
+  if (!opened) {
+    end.m_refusal = RefuseBySignal(Reason::kNodeLost, {opened.reason(), 1, 0});
+    end.m_refusal->m_retry_after = kRetryWithoutTarget;
+    return end;
+  }
+  call.m_outbound = std::move(*opened);
+  OutboundCall& outbound = *call.m_outbound;
+  if (call.m_body.size() > kFirstBodyBytes) {
+    for (std::size_t at = kFirstBodyBytes; at < call.m_body.size();
+         at += kMaxChunkBytes) {
+      const bool last = at + kMaxChunkBytes >= call.m_body.size();
+      if (!outbound.m_sender->SendBody(call.m_body.substr(at, kMaxChunkBytes),
+                                       last)) {
+        break;
+      }
+    }
+  }
+  end.m_answer = outbound.AwaitAnswer(call.m_deadline + kLastWord);
+  if (end.m_answer && end.m_answer->m_refusal) {
+    end.m_refusal = std::move(end.m_answer->m_refusal);
+    const auto service = m_core.m_services.find(call.m_service);
+    if (service != m_core.m_services.end() &&
+        service->second.count(node) != 0) {
+      RecordTargetAnswer(service->second[node], end.m_answer->m_load,
+                         SteadyNow());
+    }
+    end.m_answer.reset();
+  } else if (!end.m_answer) {
+    const bool lost = outbound.m_state->m_lost;
+    if (!lost) {
+      outbound.m_sender->Cancel("deadline");
+    }
+    end.m_refusal = EndedUnknown(
+        lost ? Reason::kNodeLost : Reason::kDeadlinePassed,
+        {lost ? "link_lost" : "ms_left",
+         (call.m_deadline - SteadyNow()).value(), 0});
+  }
+  return end;
+}
+
+void RouteEntry::RecordEnd(const EntryCall& call,
+                           const NodeId& node,
+                           const AttemptEnd& end,
+                           Millis sent) {
+  const auto service = m_core.m_services.find(call.m_service);
+  if (service == m_core.m_services.end() || service->second.count(node) == 0) {
+    return;
+  }
+  TargetPeer& peer = service->second[node];
+  const Millis now = SteadyNow();
+  peer.m_outstanding -= peer.m_outstanding > 0 ? 1 : 0;
+  if (end.m_answer) {
+    constexpr std::uint64_t kServerError = 500;
+    RecordTargetAnswer(peer, end.m_answer->m_load, now);
+    RecordTargetOutcome(peer, now - sent,
+                        end.m_answer->m_status >= kServerError);
+    return;
+  }
+  switch (end.m_refusal->m_reason) {
+    case Reason::kNodeLost:
+      peer.m_avoid_until = now + kAvoidUnreachable;
+      RecordTargetOutcome(peer, now - sent, true);
+      break;
+    case Reason::kTargetUnreachable:
+    case Reason::kNoTarget:
+    case Reason::kTargetLeaving:
+    case Reason::kNodeLeaving:
+      peer.m_avoid_until = now + kAvoidLeaving;
+      break;
+    case Reason::kTargetLost:
+    case Reason::kDeadlinePassed:
+      RecordTargetOutcome(peer, now - sent, true);
+      break;
+    default:
+      break;
+  }
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/relay/route_entry.cc
@@ -0,0 +1,198 @@
+// A request from its head to its final answer.
+
+#include "hemlockpoint/relay/route_entry.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "hemlockpoint/base/digest.h"
+#include "hemlockpoint/log/log.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+constexpr Millis kRetryWithoutDocument(500);
+constexpr Millis kRetryWithoutMemory(300);
+// Pause between a refusal and a retry that needs no answer of anybody.
+constexpr Millis kShortestRetryAfter(50);
+
+Refusal NotRun(Reason reason, Signal signal, Millis retry_after) {
+  Refusal refusal = RefuseBySignal(reason, std::move(signal));
+  refusal.m_retry_after = retry_after;
+  return refusal;
+}
+
+}  // namespace
+
+RouteEntry::RouteEntry(RelayCore& core,
+                       SlotGate& gate,
+                       std::function<void(const ServiceName&)> want_service)
+    : m_core(core), m_gate(gate), m_want_service(std::move(want_service)) {}
+
+void RouteEntry::Serve(HttpExchange& exchange) {
+  // Shared with the watch on the caller's connection.
+  auto call = std::make_shared<EntryCall>();
+  call->m_arrival = SteadyNow();
+  ++m_core.m_entry_calls;
+  ++m_core.m_metrics.m_requests;
+  std::optional<Refusal> refusal = Prepare(*call, exchange);
+  if (!refusal && !call->m_caller_gone) {
+    exchange.WatchCaller([call] {
+      call->m_caller_gone = true;
+      if (call->m_outbound) {
+        call->m_outbound->m_sender->Cancel("the caller has left");
+        call->m_outbound->m_state->m_cancelled = true;
+        call->m_outbound->m_state->m_changed.Notify();
+      }
+    });
+    refusal = Send(*call, exchange);
+  }
+  m_core.m_body_bytes -= call->m_body.size();
+  if (refusal && !call->m_caller_gone) {
+    Reject(*call, std::move(*refusal), exchange);
+  }
+  if (call->m_caller_gone) {
+    ++m_core.m_metrics.m_callers_gone;
+  }
+  Record(m_core.m_metrics.m_request_time, SteadyNow() - call->m_arrival);
+  --m_core.m_entry_calls;
+}
+
+std::optional<Refusal> RouteEntry::Prepare(EntryCall& call,
+                                           HttpExchange& exchange) {
+  const HttpRequestHead& head = exchange.head();
+  call.m_terms = m_core.m_dialect.m_read_request(head);
+  if (auto refusal = ReadWholeBody(call, exchange)) {
+    return refusal;
+  }
+  if (call.m_caller_gone) {
+    return std::nullopt;
+  }
+  call.m_table = m_core.m_table;
+  if (!call.m_table) {
+    return NotRun(Reason::kPolicyUnknown, {"document", 0, 1},
+                  kRetryWithoutDocument);
+  }
+  call.m_route = FindRoute(*call.m_table, call.m_terms.m_host, head.m_path);
+  if (call.m_route == nullptr) {
+    return RefuseBySignal(
+        Reason::kNoRoute,
+        {"document",
+         static_cast<double>(call.m_table->m_document.m_version.value()), 0});
+  }
+  const Route& route = *call.m_route;
+  call.m_service = ServiceFor(route, RootFraction(call.m_terms.m_id));
+  const CallerLimits& limits = m_core.m_settings.m_limits;
+  Millis left = Min(call.m_terms.m_time_left.value_or(limits.m_default_deadline),
+                    limits.m_longest_deadline);
+  if (route.m_timeout > Millis(0)) {
+    left = Min(left, route.m_timeout);
+  }
+  call.m_deadline = call.m_arrival + left;
+  call.m_objective = call.m_arrival + (route.m_objective > Millis(0)
+                                           ? route.m_objective
+                                           : left);
+  call.m_head.m_service = call.m_service;
+  call.m_head.m_method = head.m_method;
+  call.m_head.m_path = head.m_path;
+  call.m_head.m_headers = head.m_headers;
+  call.m_head.m_content_length = call.m_body.size();
+  CountRequest(m_core.m_repeats[call.m_service], ShareOf(call.m_service),
+               call.m_arrival);
+  return std::nullopt;
+}
+
+// The body is held whole, so that a target that hasn't run the request can be
+// followed by another.
+std::optional<Refusal> RouteEntry::ReadWholeBody(EntryCall& call,
+                                                 HttpExchange& exchange) {
+  bool dropped = false;
+  while (true) {
+    const auto bytes = exchange.ReadBody();
+    if (!bytes) {
+      if (exchange.body_too_large()) {
+        return RefuseBySignal(Reason::kBodyTooLarge, {"body_bytes", 0, 0});
+      }
+      call.m_caller_gone = true;
+      return std::nullopt;
+    }
+    if (bytes->empty()) {
+      break;
+    }
+    dropped = dropped || m_core.m_body_bytes + bytes->size() >
+                             m_core.m_settings.m_body_memory;
+    if (!dropped) {
+      call.m_body += *bytes;
+      m_core.m_body_bytes += bytes->size();
+    }
+  }
+  if (dropped) {
+    return NotRun(Reason::kNodeOverloaded,
+                  {"body_bytes", static_cast<double>(m_core.m_body_bytes),
+                   static_cast<double>(m_core.m_settings.m_body_memory)},
+                  kRetryWithoutMemory);
+  }
+  return std::nullopt;
+}
+
+void RouteEntry::RelayAnswer(EntryCall& call,
+                             const AnswerStart& answer,
+                             HttpExchange& exchange) {
+  ++m_core.m_metrics.m_answers;
+  HttpResponseHead head;
+  head.m_status = static_cast<unsigned>(answer.m_status);
+  head.m_headers = answer.m_headers;
+  BodyPipe& body = call.m_outbound->m_state->m_answer_body;
+  auto bytes = body.Pop();
+  if (!bytes) {
+    exchange.Abort();
+    return;
+  }
+  if (answer.m_complete) {
+    (void)exchange.Respond(head, *bytes);
+    return;
+  }
+  bool open = exchange.StartResponse(head);
+  while (open && bytes && !bytes->empty()) {
+    open = exchange.WriteBody(*bytes);
+    bytes = body.Pop();
+  }
+  if (!bytes) {
+    exchange.Abort();
+  } else if (open) {
+    (void)exchange.FinishResponse();
+  }
+}
+
+void RouteEntry::Reject(EntryCall& call,
+                        Refusal refusal,
+                        HttpExchange& exchange) {
+  if (refusal.m_node.empty()) {
+    refusal.m_node = m_core.m_settings.m_node;
+    ++m_core.m_metrics.m_refusals[static_cast<std::size_t>(refusal.m_reason)];
+  }
+  if (refusal.m_execution == Execution::kNotRun) {
+    refusal.m_retry_after = JitteredRetryAfter(
+        Max(refusal.m_retry_after, kShortestRetryAfter), m_core.Random());
+  }
+  LogLine(LogLevel::kInfo, "request_refused")
+      .With("request_id", call.m_terms.m_id.value())
+      .With("route", call.m_route ? call.m_route->m_name.value() : "")
+      .With("outcome", ToText(refusal.m_execution))
+      .With("reason", ToText(refusal.m_reason))
+      .With("signal", refusal.m_signal.m_name)
+      .With("value", refusal.m_signal.m_value)
+      .With("decided_at", refusal.m_node.value())
+      .With("attempts", static_cast<std::uint64_t>(call.m_attempts))
+      .With("document", call.m_table
+                            ? call.m_table->m_document.m_version.value()
+                            : std::uint64_t{0})
+      .With("retry_after_ms", refusal.m_retry_after.value())
+      .With("held_ms", (SteadyNow() - call.m_arrival).value());
+  const HttpResponseHead head =
+      m_core.m_dialect.m_write_refusal(refusal, call.m_terms.m_id);
+  (void)exchange.Respond(head, std::string(ToText(refusal.m_reason)) + "\n");
+}
+
+}  // namespace hemlockpoint
--- /dev/null
+++ b/src/hemlockpoint/relay/slot_gate.cc
@@ -0,0 +1,324 @@
+// Which target is there, and which calls wait for it.
+
+#include "hemlockpoint/relay/slot_gate.h"
+
+#include <utility>
+
+#include "hemlockpoint/log/log.h"
+#include "hemlockpoint/relay/gate_session.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+// Time that an overdue call has until its connection is closed: the target
+// ends the work itself at the same moment and says so.
+constexpr Millis kOverdueGrace(60);
+// Non-idempotent work goes on until its target says how it ended; this bounds
+// a target that never does.
+constexpr Millis kAbandonAfter(5000);
+constexpr Millis kProbePeriod(700);
+constexpr Millis kRetryWhileUnknown(300);
+
+Refusal NotRun(Reason reason, Signal signal, Millis retry_after) {
+  Refusal refusal = RefuseBySignal(reason, std::move(signal));
+  refusal.m_retry_after = retry_after;
+  return refusal;
+}
+
+}  // namespace
+
+SlotGate::SlotGate(RelayCore& core) : m_core(core) {}
+
+SlotGate::~SlotGate() = default;
+
+void SlotGate::Report(const TargetReport& report) {
+  const Settings& settings = m_core.m_settings;
+  const ReportEffect effect =
+      TakeReport(m_record, report, settings.m_target.m_service,
+                 settings.m_target.m_endpoint);
+  if (effect == ReportEffect::kIgnored || effect == ReportEffect::kRenewed) {
+    return;
+  }
+  LogLine(LogLevel::kInfo, effect == ReportEffect::kLeaving ? "target_leaving"
+                                                            : "target_known")
+      .With("instance", report.m_instance)
+      .With("born", report.m_born)
+      .With("sequence", report.m_sequence)
+      .With("slots", report.m_slots);
+  if (effect == ReportEffect::kNewIncarnation) {
+    const RouteService* service =
+        m_core.m_table
+            ? FindService(m_core.m_table->m_document, report.m_service)
+            : nullptr;
+    const std::size_t connections =
+        service != nullptr && service->m_max_connections > 0
+            ? service->m_max_connections
+            : settings.m_limits.m_connections;
+    m_pool = std::make_shared<HttpClientPool>(
+        m_core.m_loop.io(), settings.m_target.m_endpoint, connections);
+    m_down_until = Millis(-1e12);
+  }
+  m_queue.m_slots = report.m_slots;
+  if (m_record.m_leaving) {
+    Drop(std::exchange(m_queue.m_waiting, {}), Reason::kTargetLeaving);
+  }
+  if (m_on_change) {
+    m_on_change();
+  }
+  Pump();
+}
+
+void SlotGate::Withdraw(const TargetWithdrawal& withdrawal) {
+  if (!TakeWithdrawal(m_record, withdrawal)) {
+    return;
+  }
+  LogLine(LogLevel::kInfo, "target_leaving")
+      .With("instance", withdrawal.m_instance)
+      .With("born", withdrawal.m_born);
+  Drop(std::exchange(m_queue.m_waiting, {}), Reason::kTargetLeaving);
+  if (m_on_change) {
+    m_on_change();
+  }
+}
+
+void SlotGate::ForgetTarget(const char* reason) {
+  if (!m_record.m_current) {
+    return;
+  }
+  LogLine(LogLevel::kWarning, "target_forgotten")
+      .With("instance", m_record.m_current->m_instance)
+      .With("reason", reason);
+  m_record.m_current.reset();
+  m_record.m_leaving = false;
+  Drop(std::exchange(m_queue.m_waiting, {}), Reason::kTargetUnreachable);
+  if (m_on_change) {
+    m_on_change();
+  }
+}
+
+void SlotGate::ProbeUntilKnown() {
+  while (!m_core.m_loop.stopping()) {
+    SleepFor(kProbePeriod);
+    if (m_record.m_current || !m_record.m_withdrawn.m_instance.empty() ||
+        (m_core.m_table && Probe())) {
+      return;
+    }
+  }
+}
+
+// Returns whether there is nothing more to find out.
+bool SlotGate::Probe() {
+  const TargetPlace& place = m_core.m_settings.m_target;
+  const RouteService* service =
+      FindService(m_core.m_table->m_document, place.m_service);
+  if (service == nullptr || service->m_health_path.empty()) {
+    return true;
+  }
+  HttpClientPool pool(m_core.m_loop.io(), place.m_endpoint, 1);
+  auto opened = pool.Open(kProbePeriod);
+  if (!opened) {
+    return false;
+  }
+  HttpRequestHead head;
+  head.m_method = "GET";
+  head.m_path = service->m_health_path;
+  head.m_headers.push_back({"Host", ToText(place.m_endpoint)});
+  std::shared_ptr<HttpClientCall> call = std::move(*opened);
+  // The wait for a slot of a loaded target has to end.
+  m_core.m_loop.Spawn([call] {
+    SleepFor(kProbePeriod);
+    call->Cancel();
+  });
+  if (!call->SendHead(head, "", true)) {
+    return false;
+  }
+  const auto response = call->ReadHead();
+  constexpr unsigned kOk = 200;
+  if (!response || response->m_status != kOk || m_record.m_current) {
+    return m_record.m_current.has_value();
+  }
+  const TargetAnswer answer =
+      m_core.m_dialect.m_read_answer(*response, RequestId());
+  if (answer.m_instance.empty() || !answer.m_load ||
+      answer.m_instance == m_record.m_withdrawn.m_instance) {
+    return true;
+  }
+  TargetReport report;
+  report.m_instance = answer.m_instance;
+  report.m_service = place.m_service;
+  report.m_endpoint = place.m_endpoint;
+  report.m_slots = answer.m_load->m_slots;
+  Report(report);
+  return true;
+}
+
+void SlotGate::BeginLeaving() {
+  Drop(std::exchange(m_queue.m_waiting, {}), Reason::kNodeLeaving);
+}
+
+TargetSummary SlotGate::Summary() const {
+  TargetSummary summary;
+  if (m_record.m_current) {
+    summary.m_service = m_record.m_current->m_service;
+    summary.m_slots = m_record.m_current->m_slots;
+    summary.m_leaving = m_record.m_leaving || m_core.m_leaving;
+  }
+  return summary;
+}
+
+LoadReport SlotGate::Load() const {
+  LoadReport load;
+  load.m_in_flight = m_queue.m_running;
+  load.m_queued = m_queue.m_waiting.size();
+  load.m_limit = static_cast<double>(m_queue.m_slots);
+  load.m_service_time = m_queue.m_times.m_mean;
+  load.m_leaving = m_record.m_leaving || m_core.m_leaving;
+  return load;
+}
+
+// Whether the call may be handed to the target now, else why not.
+std::optional<Refusal> SlotGate::Admission(const GateSession& session) const {
+  const CallStart& start = session.m_call.m_start;
+  const Millis now = SteadyNow();
+  if (m_core.m_leaving) {
+    return NotRun(Reason::kNodeLeaving, {"leaving", 1, 0}, Millis(0));
+  }
+  if (!m_record.m_current ||
+      m_record.m_current->m_service != start.m_request.m_service) {
+    return NotRun(Reason::kNoTarget, {"targets", 0, 1}, kRetryWhileUnknown);
+  }
+  if (m_record.m_leaving) {
+    return NotRun(Reason::kTargetLeaving, {"leaving", 1, 0}, Millis(0));
+  }
+  if (now < m_down_until) {
+    return NotRun(Reason::kTargetUnreachable,
+                  {"down_for_ms", (m_down_until - now).value(), 0},
+                  kRetryWhileUnknown);
+  }
+  return std::nullopt;
+}
+
+bool SlotGate::CollectBody(GateSession& session) {
+  CallState& state = *session.m_call.m_state;
+  if (!session.m_call.m_start.m_complete) {
+    session.m_call.m_sender->GrantBody();
+  }
+  while (true) {
+    auto bytes = state.m_request_body.Pop();
+    if (!bytes) {
+      return false;
+    }
+    if (bytes->empty()) {
+      return true;
+    }
+    session.m_body += *bytes;
+  }
+}
+
+void SlotGate::Serve(InboundCall call) {
+  auto session = std::make_shared<GateSession>();
+  const Millis now = SteadyNow();
+  session->m_id = CallId(++m_last_call);
+  session->m_call = std::move(call);
+  session->m_arrival = now;
+  session->m_deadline = now + session->terms().m_time_left;
+  if (auto refusal = Admission(*session)) {
+    Refuse(*session, *refusal);
+    return;
+  }
+  if (!CollectBody(*session)) {
+    return;
+  }
+  WaitingCall waiting;
+  waiting.m_call = session->m_id;
+  waiting.m_route = session->terms().m_route;
+  waiting.m_rank = session->terms().m_class;
+  waiting.m_arrival = now;
+  waiting.m_deadline = session->m_deadline;
+  waiting.m_objective = now + session->terms().m_objective_left;
+  const SlotOffer offer = OfferCall(m_queue, waiting, now);
+  if (!offer.m_accepted) {
+    Refuse(*session, offer.m_refusal);
+    return;
+  }
+  m_sessions[session->m_id] = session;
+  session->m_call.m_state->m_on_cancel = [this, raw = session.get()] {
+    if (raw->m_phase == GateSession::Phase::kWaiting) {
+      RemoveWaiting(m_queue, raw->m_id);
+      raw->m_phase = GateSession::Phase::kDropped;
+    } else if (raw->terms().m_idempotent && raw->m_http) {
+      raw->m_http->Cancel();
+    }
+    raw->m_changed.Notify();
+  };
+  if (session->cancelled()) {
+    session->m_call.m_state->m_on_cancel();
+  }
+  Pump();
+  session->m_changed.Wait(
+      [&] { return session->m_phase != GateSession::Phase::kWaiting; });
+  if (session->m_phase == GateSession::Phase::kRunning) {
+    Record(m_core.m_metrics.m_wait_time, SteadyNow() - session->m_arrival);
+    Dispatch(*session);
+    Pump();
+  } else if (session->m_dropped && !session->cancelled()) {
+    Refuse(*session, *session->m_dropped);
+  }
+  session->m_call.m_state->m_on_cancel = nullptr;
+  m_sessions.erase(session->m_id);
+}
+
+void SlotGate::Pump() {
+  const Millis now = SteadyNow();
+  while (const auto next = TakeNextCall(m_queue, now)) {
+    const auto session = m_sessions.find(next->m_call);
+    if (session == m_sessions.end()) {
+      ReleaseSlot(m_queue, next->m_route, Millis(0), false);
+      continue;
+    }
+    session->second->m_phase = GateSession::Phase::kRunning;
+    session->second->m_changed.Notify();
+  }
+}
+
+void SlotGate::Drop(const std::vector<WaitingCall>& calls, Reason reason) {
+  const Millis now = SteadyNow();
+  for (const WaitingCall& call : calls) {
+    const auto session = m_sessions.find(call.m_call);
+    if (session == m_sessions.end()) {
+      continue;
+    }
+    const Millis wait = ExpectedWait(m_queue, call.m_rank);
+    session->second->m_dropped =
+        NotRun(reason, {"waited_ms", (now - call.m_arrival).value(), 0}, wait);
+    session->second->m_phase = GateSession::Phase::kDropped;
+    session->second->m_changed.Notify();
+  }
+}
+
+void SlotGate::Tick() {
+  const Millis now = SteadyNow();
+  Drop(TakeHopeless(m_queue, now), Reason::kDeadlineUnreachable);
+  for (const auto& [id, session] : m_sessions) {
+    const bool idempotent = session->terms().m_idempotent;
+    const Millis limit =
+        session->m_deadline + (idempotent ? kOverdueGrace : kAbandonAfter);
+    if (session->m_http && !session->m_overdue && now > limit) {
+      session->m_overdue = true;
+      session->m_http->Cancel();
+    }
+  }
+  Pump();
+}
+
+void SlotGate::Refuse(GateSession& session, Refusal refusal) {
+  refusal.m_node = m_core.m_settings.m_node;
+  ++m_core.m_metrics.m_refusals[static_cast<std::size_t>(refusal.m_reason)];
+  AnswerStart answer;
+  answer.m_refusal = std::move(refusal);
+  answer.m_load = Load();
+  session.m_call.m_sender->SendAnswer(std::move(answer));
+}
+
+}  // namespace hemlockpoint
--- a/src/hemlockpoint/wire/call_messages.h
+++ b/src/hemlockpoint/wire/call_messages.h
@@ -14,7 +14,7 @@
 
 /// @brief Version of the protocol between the system's processes. Peers of
 /// another version are refused.
-inline constexpr std::uint64_t kProtocolVersion = 1;
+inline constexpr std::uint64_t kProtocolVersion = 2;
 
 /// @brief Bytes of one body chunk at most, so that chunks of large bodies
 /// interleave with small messages.
@@ -81,22 +81,29 @@
   /// Time left until the deadline when the message was sent.
   Millis m_time_left;
   Revision m_revision;
+  /// Name of the route that the call came by; empty under a policy document.
+  std::string m_route;
+  /// Time left until the latency objective when the message was sent; below 0
+  /// when it has passed.
+  Millis m_objective_left;
 
   template <typename Self, typename Visitor>
   static void Visit(Self& self, Visitor& visit) {
-    visit("root", self.m_root);
-    visit("caller", self.m_caller);
-    visit("class", self.m_class);
-    visit("depth", self.m_depth);
-    visit("extra", self.m_extra_attempts);
-    visit("repeat", self.m_repeat);
-    visit("idem", self.m_idempotent);
-    visit("long", self.m_long);
-    visit("suspect", self.m_suspect);
-    visit("key", self.m_key);
-    visit("print", self.m_fingerprint);
-    visit("left", self.m_time_left);
-    visit("rev", self.m_revision);
+    visit("i", self.m_root);
+    visit("c", self.m_caller);
+    visit("k", self.m_class);
+    visit("d", self.m_depth);
+    visit("x", self.m_extra_attempts);
+    visit("rp", self.m_repeat);
+    visit("id", self.m_idempotent);
+    visit("l", self.m_long);
+    visit("su", self.m_suspect);
+    visit("ky", self.m_key);
+    visit("f", self.m_fingerprint);
+    visit("tl", self.m_time_left);
+    visit("rv", self.m_revision);
+    visit("rt", self.m_route);
+    visit("ol", self.m_objective_left);
   }
 };
 
@@ -112,11 +119,11 @@
 
   template <typename Self, typename Visitor>
   static void Visit(Self& self, Visitor& visit) {
-    visit("service", self.m_service);
-    visit("method", self.m_method);
-    visit("path", self.m_path);
-    visit("headers", self.m_headers);
-    visit("length", self.m_content_length);
+    visit("s", self.m_service);
+    visit("m", self.m_method);
+    visit("p", self.m_path);
+    visit("h", self.m_headers);
+    visit("n", self.m_content_length);
   }
 };
 
@@ -133,8 +140,8 @@
   template <typename Self, typename Visitor>
   static void Visit(Self& self, Visitor& visit) {
     visit("call", self.m_call);
-    visit("terms", self.m_terms);
-    visit("req", self.m_request);
+    visit("t_", self.m_terms);
+    visit("r", self.m_request);
     visit("body", self.m_body);
     visit("done", self.m_complete);
   }
@@ -177,14 +184,17 @@
   /// or at a service below.
   double m_threshold = 0;
   bool m_leaving = false;
+  /// Mean time that the target takes for one call.
+  Millis m_service_time;
 
   template <typename Self, typename Visitor>
   static void Visit(Self& self, Visitor& visit) {
-    visit("busy", self.m_in_flight);
-    visit("queued", self.m_queued);
-    visit("limit", self.m_limit);
-    visit("level", self.m_threshold);
-    visit("leaving", self.m_leaving);
+    visit("b", self.m_in_flight);
+    visit("q", self.m_queued);
+    visit("m", self.m_limit);
+    visit("v", self.m_threshold);
+    visit("l", self.m_leaving);
+    visit("st", self.m_service_time);
   }
 };
 
@@ -209,13 +219,13 @@
   template <typename Self, typename Visitor>
   static void Visit(Self& self, Visitor& visit) {
     visit("call", self.m_call);
-    visit("redirect", self.m_redirect);
-    visit("replay", self.m_replayed);
-    visit("status", self.m_status);
-    visit("headers", self.m_headers);
+    visit("rd", self.m_redirect);
+    visit("ry", self.m_replayed);
+    visit("st", self.m_status);
+    visit("h", self.m_headers);
     visit("refusal", self.m_refusal);
-    visit("spent", self.m_spent);
-    visit("load", self.m_load);
+    visit("sp", self.m_spent);
+    visit("ld", self.m_load);
     visit("body", self.m_body);
     visit("done", self.m_complete);
   }
--- a/src/hemlockpoint/wire/consensus_messages.h
+++ b/src/hemlockpoint/wire/consensus_messages.h
@@ -20,6 +20,8 @@
   kChange,
   /// The claim replicas of a service.
   kClaimSet,
+  /// A DocumentChange of the route document.
+  kDocument,
 };
 
 /// @brief One entry of the replicated log.
@@ -200,6 +202,7 @@
   std::string m_admin;
   /// The host is a member of a group already.
   std::string m_group_id;
+  NodeId m_node;
 
   template <typename Self, typename Visitor>
   static void Visit(Self& self, Visitor& visit) {
@@ -207,6 +210,7 @@
     visit("instance", self.m_instance);
     visit("admin", self.m_admin);
     visit("gid", self.m_group_id);
+    visit("node", self.m_node);
   }
 };
 
--- a/src/hemlockpoint/wire/fields.h
+++ b/src/hemlockpoint/wire/fields.h
@@ -14,6 +14,7 @@
 #include "hemlockpoint/base/ids.h"
 #include "hemlockpoint/base/millis.h"
 #include "hemlockpoint/outcome/refusal.h"
+#include "hemlockpoint/routes/route_document.h"
 #include "hemlockpoint/wire/call_messages.h"
 #include "hemlockpoint/wire/claim_messages.h"
 #include "hemlockpoint/wire/consensus_messages.h"
@@ -66,7 +67,7 @@
 template <>
 inline constexpr std::uint64_t kEnumCount<Reason> = kReasonCount;
 template <>
-inline constexpr std::uint64_t kEnumCount<EntryKind> = 4;
+inline constexpr std::uint64_t kEnumCount<EntryKind> = 5;
 template <>
 inline constexpr std::uint64_t kEnumCount<ClaimStep> = 4;
 template <>
@@ -74,6 +75,9 @@
 template <>
 inline constexpr std::uint64_t kEnumCount<ClaimPhase> = 3;
 
+template <>
+inline constexpr std::uint64_t kEnumCount<WorkKind> = kWorkKindCount;
+
 template <typename Visitor, typename Self>
 void VisitRefusal(Self& self, Visitor& visit) {
   visit("run", self.m_execution);
--- a/src/hemlockpoint/wire/membership_messages.h
+++ b/src/hemlockpoint/wire/membership_messages.h
@@ -7,6 +7,7 @@
 
 #include "hemlockpoint/base/ids.h"
 #include "hemlockpoint/base/millis.h"
+#include "hemlockpoint/routes/route_document.h"
 
 namespace hemlockpoint {
 
@@ -40,6 +41,8 @@
   TargetSummary m_target;
   /// Revision of the policy document in force at the node.
   Revision m_revision;
+  /// Version of the route document in force at the node.
+  DocumentVersion m_document;
 
   template <typename Self, typename Visitor>
   static void Visit(Self& self, Visitor& visit) {
@@ -51,6 +54,7 @@
     visit("fd", self.m_failure_domain);
     visit("target", self.m_target);
     visit("rev", self.m_revision);
+    visit("doc", self.m_document);
   }
 };
 
@@ -84,6 +88,8 @@
   Millis m_proof_age;
   /// Newest committed revision of the policy document.
   Revision m_revision;
+  /// Peer endpoints of the control hosts, for a node that has lost them.
+  std::vector<std::string> m_hosts;
 
   template <typename Self, typename Visitor>
   static void Visit(Self& self, Visitor& visit) {
@@ -91,6 +97,7 @@
     visit("leader", self.m_leader);
     visit("proof", self.m_proof_age);
     visit("rev", self.m_revision);
+    visit("hosts", self.m_hosts);
   }
 };
 
--- a/src/hemlockpoint/wire/message.h
+++ b/src/hemlockpoint/wire/message.h
@@ -6,6 +6,7 @@
 #include "hemlockpoint/wire/call_messages.h"
 #include "hemlockpoint/wire/claim_messages.h"
 #include "hemlockpoint/wire/consensus_messages.h"
+#include "hemlockpoint/wire/document_messages.h"
 #include "hemlockpoint/wire/membership_messages.h"
 #include "hemlockpoint/wire/policy_messages.h"
 
@@ -34,7 +35,10 @@
                              ClaimReply,
                              ClaimSync,
                              ClaimSyncReply,
-                             ClaimSets>;
+                             ClaimSets,
+                             DocumentPush,
+                             HostBeat,
+                             Ping>;
 
 }  // namespace hemlockpoint
 
--- a/src/hemlockpointd/main.cc
+++ b/src/hemlockpointd/main.cc
@@ -2,13 +2,18 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
+#include <fstream>
+#include <functional>
 #include <iostream>
+#include <sstream>
 #include <string>
 
 #include "hemlockpoint/config/settings.h"
 #include "hemlockpoint/log/log.h"
 #include "hemlockpoint/node/node.h"
+#include "hemlockpoint/relay/relay_node.h"
 #include "hemlockpoint/runtime/fiber_loop.h"
+#include "platform/dialect.h"
 
 namespace {
 
@@ -49,6 +54,78 @@
   return std::nullopt;
 }
 
+constexpr hemlockpoint::Millis kReloadPeriod(1000);
+
+// Takes over a settings file that has changed. One with faults is reported
+// and leaves the present settings in force.
+void Reload(hemlockpoint::RelayNode& node, const std::string& path) {
+  Findings findings;
+  const auto settings = hemlockpoint::LoadSettings(path, findings);
+  if (!settings) {
+    LogLine(LogLevel::kError, "reload_refused")
+        .With("findings", findings.ToText());
+    return;
+  }
+  node.Reload(*settings);
+  LogLine(LogLevel::kInfo, "reloaded")
+      .With("seeds", static_cast<std::uint64_t>(settings->m_seeds.size()));
+}
+
+// The text of the settings file, by which a change is told.
+std::string ReadText(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+int RunRelay(const Settings& settings, const std::string& path) {
+  hemlockpoint::FiberLoop loop;
+  hemlockpoint::RelayNode node(
+      settings, hemlockpoint::platform::PlatformDialect(), loop);
+  if (const auto error = node.Start()) {
+    LogLine(LogLevel::kError, "start_failed").With("reason", *error);
+    hemlockpoint::StopLog();
+    std::_Exit(kExitFailed);
+  }
+  boost::asio::signal_set stop(loop.io(), SIGTERM, SIGINT);
+  stop.async_wait([&](const boost::system::error_code& error, int) {
+    if (!error) {
+      loop.Spawn([&] {
+        node.DrainAndStop();
+        LogLine(LogLevel::kInfo, "stopped")
+            .With("node", settings.m_node.value());
+        hemlockpoint::StopLog();
+        // Connections that callers keep open would hold the loop.
+        std::_Exit(0);
+      });
+    }
+  });
+  std::string text = ReadText(path);
+  bool reload_asked = false;
+  boost::asio::signal_set reload(loop.io(), SIGHUP);
+  std::function<void()> await_reload = [&] {
+    reload.async_wait([&](const boost::system::error_code& error, int) {
+      if (!error) {
+        reload_asked = true;
+        await_reload();
+      }
+    });
+  };
+  await_reload();
+  loop.SpawnPeriodic(kReloadPeriod, [&] {
+    const std::string now = ReadText(path);
+    if (reload_asked || now != text) {
+      reload_asked = false;
+      text = now;
+      Reload(node, path);
+    }
+  });
+  LogLine(LogLevel::kInfo, "started").With("node", settings.m_node.value());
+  loop.Run();
+  return 0;
+}
+
 int Run(const Settings& settings) {
   hemlockpoint::FiberLoop loop;
   hemlockpoint::Node node(settings, loop);
@@ -89,8 +166,13 @@
     std::cout << "settings are valid\n";
     return 0;
   }
-  hemlockpoint::StartLog(settings->m_log_level);
-  const int exit_code = Run(*settings);
+  const bool routes =
+      settings->m_mode == hemlockpoint::ServingMode::kRoutes;
+  hemlockpoint::StartLog(settings->m_log_level,
+                         routes ? hemlockpoint::LogStream::kStandardOutput
+                                : hemlockpoint::LogStream::kStandardError);
+  const int exit_code = routes ? RunRelay(*settings, options.m_settings_path)
+                               : Run(*settings);
   hemlockpoint::StopLog();
   return exit_code;
 }
