Estimate answer times by route in the choice of target

Cause: the mean over all routes made a target that also serves long work look too slow for short calls, so they left their failure domain.

--- a/src/hemlockpoint/dispatch/target_choice.cc
+++ b/src/hemlockpoint/dispatch/target_choice.cc
@@ -8,8 +8,12 @@
 
 // A report older than this says little of the target's queue.
 constexpr Millis kReportFreshFor(1000);
-constexpr double kLatencyGain = 0.1;
-constexpr double kFailureGain = 0.1;
+// Averages follow a change within some twenty and fifty calls.
+constexpr double kSlownessGain = 0.05;
+constexpr double kFailureGain = 0.02;
+// Failures up to this share are the work's own and say nothing of a target.
+constexpr double kUsualFailures = 0.05;
+constexpr double kMaxSlowness = 20;
 // Share of the objective up to which an answer is as good as certain to be in
 // time; service times spread by about half of their mean.
 constexpr double kSureShare = 0.6;
@@ -31,9 +35,10 @@
 }
 
 double Utility(const TargetPeer& peer, const ChoiceTerms& terms, Millis now) {
-  const Millis expected = ExpectedLatency(peer, now);
+  const Millis expected = ExpectedLatency(peer, terms.m_typical, now);
+  const double unwell = std::max(0.0, peer.m_failures - kUsualFailures);
   const double chance =
-      ChanceInTime(expected, terms.m_objective_left) * (1 - peer.m_failures);
+      ChanceInTime(expected, terms.m_objective_left) * (1 - unwell);
   const double crossing =
       peer.m_same_domain
           ? 0
@@ -45,8 +50,8 @@
 
 }  // namespace
 
-Millis ExpectedLatency(const TargetPeer& peer, Millis now) {
-  const Millis service = Max(peer.m_latency, peer.m_load.m_service_time);
+Millis ExpectedLatency(const TargetPeer& peer, Millis typical, Millis now) {
+  const Millis service = typical * peer.m_slowness;
   if (now - peer.m_load_time > kReportFreshFor || peer.m_load.m_limit <= 0) {
     const double slots =
         std::max<double>(1, static_cast<double>(peer.m_member.m_target.m_slots));
@@ -104,13 +109,14 @@
   peer.m_sent_since_report = 0;
 }
 
-void RecordTargetOutcome(TargetPeer& peer, Millis duration, bool failed) {
+void RecordTargetOutcome(TargetPeer& peer,
+                         Millis duration,
+                         Millis typical,
+                         bool failed) {
   peer.m_failures += ((failed ? 1.0 : 0.0) - peer.m_failures) * kFailureGain;
-  if (!failed) {
-    peer.m_latency = peer.m_latency == Millis(0)
-                         ? duration
-                         : peer.m_latency +
-                               (duration - peer.m_latency) * kLatencyGain;
+  if (!failed && typical > Millis(0)) {
+    const double slowness = std::min(kMaxSlowness, duration / typical);
+    peer.m_slowness += (slowness - peer.m_slowness) * kSlownessGain;
   }
 }
 
--- a/src/hemlockpoint/dispatch/target_choice.h
+++ b/src/hemlockpoint/dispatch/target_choice.h
@@ -25,8 +25,9 @@
   std::uint64_t m_sent_since_report = 0;
   LoadReport m_load;
   Millis m_load_time{-1e12};
-  /// Moving average of the time until an answer.
-  Millis m_latency;
+  /// Moving average of the time until an answer, over the typical time of the
+  /// same route at all targets.
+  double m_slowness = 1;
   /// Share of calls of late that ended without the target's answer, or with
   /// a failure of the target's own.
   double m_failures = 0;
@@ -39,6 +40,8 @@
 
 /// @brief What counts about a call in the choice of its target.
 struct ChoiceTerms {
+  /// Typical time until an answer on the route, at all targets; 0 if unknown.
+  Millis m_typical;
   /// Time left until the objective.
   Millis m_objective_left;
   /// Bytes of request and expected answer.
@@ -48,7 +51,9 @@
 };
 
 /// @brief Estimates when a target would have answered.
-[[nodiscard]] Millis ExpectedLatency(const TargetPeer& peer, Millis now);
+[[nodiscard]] Millis ExpectedLatency(const TargetPeer& peer,
+                                     Millis typical,
+                                     Millis now);
 
 /// @brief Chooses the target with the best chance of an answer in time, less
 /// the cost of leaving the failure domain.
@@ -67,8 +72,12 @@
                         Millis now);
 
 /// @brief Takes in how a call has ended.
+/// @param typical As in ChoiceTerms.
 /// @param failed The target gave no answer, or a failure of its own.
-void RecordTargetOutcome(TargetPeer& peer, Millis duration, bool failed);
+void RecordTargetOutcome(TargetPeer& peer,
+                         Millis duration,
+                         Millis typical,
+                         bool failed);
 
 }  // namespace hemlockpoint
 
--- a/src/hemlockpoint/relay/core.h
+++ b/src/hemlockpoint/relay/core.h
@@ -8,6 +8,7 @@
 
 #include "hemlockpoint/config/settings.h"
 #include "hemlockpoint/dispatch/repeat_window.h"
+#include "hemlockpoint/dispatch/service_times.h"
 #include "hemlockpoint/dispatch/target_choice.h"
 #include "hemlockpoint/quarantine/quarantine.h"
 #include "hemlockpoint/relay/dialect.h"
@@ -37,6 +38,8 @@
   std::map<NodeId, MemberEntry> m_members;
   std::map<ServiceName, TargetPeers> m_services;
   std::map<ServiceName, RepeatWindow> m_repeats;
+  /// Times until answers by route, over all targets.
+  ServiceTimes m_answer_times;
   QuarantineTable m_quarantine;
   RelayMetrics m_metrics;
   /// Set before the parts run; outlives them.
--- a/src/hemlockpoint/relay/route_attempts.cc
+++ b/src/hemlockpoint/relay/route_attempts.cc
@@ -51,6 +51,8 @@
   }
   const Millis now = SteadyNow();
   ChoiceTerms terms;
+  terms.m_typical = ExpectedServiceTime(m_core.m_answer_times,
+                                        call.m_route->m_name.value());
   terms.m_objective_left = call.m_objective - now;
   terms.m_bytes = static_cast<double>(call.m_body.size()) + kUsualAnswerBytes;
   terms.m_cost_per_kib = kCrossingCostPerKib;
@@ -220,18 +222,23 @@
   }
   TargetPeer& peer = service->second[node];
   const Millis now = SteadyNow();
+  const std::string& route = call.m_route->m_name.value();
+  const Millis typical = ExpectedServiceTime(m_core.m_answer_times, route);
   peer.m_outstanding -= peer.m_outstanding > 0 ? 1 : 0;
   if (end.m_answer) {
     constexpr std::uint64_t kServerError = 500;
     RecordTargetAnswer(peer, end.m_answer->m_load, now);
-    RecordTargetOutcome(peer, now - sent,
-                        end.m_answer->m_status >= kServerError);
+    const bool failed = end.m_answer->m_status >= kServerError;
+    RecordTargetOutcome(peer, now - sent, typical, failed);
+    if (!failed) {
+      RecordServiceTime(m_core.m_answer_times, route, now - sent);
+    }
     return;
   }
   switch (end.m_refusal->m_reason) {
     case Reason::kNodeLost:
       peer.m_avoid_until = now + kAvoidUnreachable;
-      RecordTargetOutcome(peer, now - sent, true);
+      RecordTargetOutcome(peer, now - sent, typical, true);
       break;
     case Reason::kTargetUnreachable:
     case Reason::kNoTarget:
@@ -241,7 +248,7 @@
       break;
     case Reason::kTargetLost:
     case Reason::kDeadlinePassed:
-      RecordTargetOutcome(peer, now - sent, true);
+      RecordTargetOutcome(peer, now - sent, typical, true);
       break;
     default:
       break;
