--- /dev/null
+++ b/src/hemlockpoint/dispatch/route_limit.cc
@@ -0,0 +1,67 @@
+#include "hemlockpoint/dispatch/route_limit.h"
+
+#include <algorithm>
+
+namespace hemlockpoint {
+
+namespace {
+
+// Ends over which a share of failures is taken.
+constexpr double kEndsForDecision = 10;
+// A decision on fewer ends waits so long, a short call chain's time.
+constexpr Millis kDecisionPeriod(500);
+constexpr double kFewestEnds = 4;
+// Factor of a cut when every call has failed; a smaller share cuts less.
+constexpr double kDeepestCut = 0.5;
+constexpr double kRaise = 1;
+
+}  // namespace
+
+double ToleratedFailures(std::uint64_t rank) {
+  constexpr double kMostImportant = 0.5;
+  constexpr double kImportant = 0.3;
+  constexpr double kOther = 0.1;
+  if (rank == 0) {
+    return kMostImportant;
+  }
+  return rank == 1 ? kImportant : kOther;
+}
+
+void RecordRouteEnd(RouteLimit& limit,
+                    std::uint64_t rank,
+                    bool failed,
+                    double slots,
+                    Millis now) {
+  if (limit.m_limit <= 0) {
+    limit.m_limit = slots;
+    limit.m_changed = now;
+  }
+  limit.m_ends += 1;
+  limit.m_failures += failed ? 1 : 0;
+  const bool enough =
+      limit.m_ends >= kEndsForDecision ||
+      (limit.m_ends >= kFewestEnds && now - limit.m_changed > kDecisionPeriod);
+  if (!enough) {
+    return;
+  }
+  const double share = limit.m_failures / limit.m_ends;
+  const auto running = static_cast<double>(limit.m_running);
+  if (share > ToleratedFailures(rank)) {
+    limit.m_limit =
+        std::min(limit.m_limit, running + 1) * (1 - (1 - kDeepestCut) * share);
+  } else if (running + 1 >= limit.m_limit * 0.8) {
+    limit.m_limit += kRaise;
+  }
+  limit.m_limit = std::clamp(limit.m_limit, kLeastRouteLimit,
+                             std::max(kLeastRouteLimit, slots));
+  limit.m_ends = 0;
+  limit.m_failures = 0;
+  limit.m_changed = now;
+}
+
+bool HasRouteRoom(const RouteLimit& limit, double slots) {
+  const double bound = limit.m_limit > 0 ? limit.m_limit : slots;
+  return static_cast<double>(limit.m_running) + 1 <= std::max(1.0, bound);
+}
+
+}  // namespace hemlockpoint
--- a/src/hemlockpoint/dispatch/slot_queue.cc
+++ b/src/hemlockpoint/dispatch/slot_queue.cc
@@ -11,43 +11,94 @@
 constexpr Millis kAssumedServiceTime(50);
 // Shortest delay for a caller to come back after; a slot's usual turnover.
 constexpr Millis kShortestRetryAfter(100);
+// Part of the usual time that a call may lack and still be begun.
+constexpr double kHopelessShare = 0.5;
 
 bool IsLate(const SlotQueue& queue, const WaitingCall& call, Millis now) {
   return now + ExpectedServiceTime(queue.m_times, call.m_route) >
          call.m_objective;
 }
 
+// Nested calls come before requests, unless requests lack their share.
+bool GoesFirst(const SlotQueue& queue, const WaitingCall& call) {
+  const double share = static_cast<double>(queue.m_slots) * kRootShare;
+  const bool roots_lack = static_cast<double>(queue.m_running_roots) < share;
+  return call.m_nested != roots_lack;
+}
+
 auto OrderOf(const SlotQueue& queue, const WaitingCall& call, Millis now) {
   const bool late = IsLate(queue, call, now);
   const Millis by = late ? call.m_deadline : call.m_objective;
-  return std::make_tuple(call.m_rank, late, by.value());
+  return std::make_tuple(!GoesFirst(queue, call), call.m_rank, late,
+                         by.value());
 }
 
-}  // namespace
+double SlotsOf(const SlotQueue& queue) {
+  return std::max<double>(1, static_cast<double>(queue.m_slots));
+}
+
+bool MayRun(const SlotQueue& queue, const WaitingCall& call) {
+  if (call.m_nested) {
+    return true;
+  }
+  const auto limit = queue.m_limits.find(call.m_route);
+  return limit == queue.m_limits.end() ||
+         HasRouteRoom(limit->second, SlotsOf(queue));
+}
+
+Millis MeanTime(const SlotQueue& queue) {
+  return queue.m_times.m_mean == Millis(0) ? kAssumedServiceTime
+                                           : queue.m_times.m_mean;
+}
+
+Millis WaitForRoute(const SlotQueue& queue, const WaitingCall& call) {
+  const auto limit = queue.m_limits.find(call.m_route);
+  if (call.m_nested || limit == queue.m_limits.end() ||
+      HasRouteRoom(limit->second, SlotsOf(queue))) {
+    return Millis(0);
+  }
+  const auto ahead = std::count_if(
+      queue.m_waiting.begin(), queue.m_waiting.end(),
+      [&](const WaitingCall& other) { return other.m_route == call.m_route; });
+  const Millis usual = ExpectedServiceTime(queue.m_times, call.m_route);
+  return usual * ((static_cast<double>(ahead) + 1) /
+                  std::max(1.0, limit->second.m_limit));
+}
 
-Millis ExpectedWait(const SlotQueue& queue, std::uint64_t rank) {
+Millis WaitForSlot(const SlotQueue& queue, const WaitingCall& call) {
   if (queue.m_running < queue.m_slots) {
     return Millis(0);
   }
   const auto ahead = std::count_if(
       queue.m_waiting.begin(), queue.m_waiting.end(),
-      [rank](const WaitingCall& call) { return call.m_rank <= rank; });
-  const Millis mean = queue.m_times.m_mean == Millis(0) ? kAssumedServiceTime
-                                                        : queue.m_times.m_mean;
-  const double slots = std::max<double>(1, static_cast<double>(queue.m_slots));
-  return mean * ((static_cast<double>(ahead) + 1) / slots);
+      [&](const WaitingCall& other) {
+        return other.m_nested != call.m_nested ? other.m_nested
+                                               : other.m_rank <= call.m_rank;
+      });
+  return MeanTime(queue) * ((static_cast<double>(ahead) + 1) / SlotsOf(queue));
+}
+
+}  // namespace
+
+Millis ExpectedWait(const SlotQueue& queue, const WaitingCall& call) {
+  return Max(WaitForSlot(queue, call), WaitForRoute(queue, call));
 }
 
 SlotOffer OfferCall(SlotQueue& queue, const WaitingCall& call, Millis now) {
   SlotOffer offer;
-  const Millis wait = ExpectedWait(queue, call.m_rank);
+  const Millis wait = ExpectedWait(queue, call);
   const Millis finish =
       now + wait + ExpectedServiceTime(queue.m_times, call.m_route);
   const bool full = queue.m_waiting.size() >= kMaxWaiting;
-  if (wait > Millis(0) && (full || finish > call.m_deadline)) {
+  const bool patient = call.m_nested || call.m_rank == 0;
+  const Millis limit =
+      patient ? call.m_deadline : Min(call.m_deadline, call.m_objective);
+  const bool too_late = call.m_nested ? now + wait > call.m_deadline
+                                      : finish > limit;
+  if (full || (wait > Millis(0) && too_late)) {
     offer.m_refusal = RefuseBySignal(
         full ? Reason::kQueueFull : Reason::kDeadlineUnreachable,
-        {"expected_wait_ms", wait.value(), (call.m_deadline - now).value()});
+        {"expected_wait_ms", wait.value(), (limit - now).value()});
     offer.m_refusal.m_retry_after = Max(wait, kShortestRetryAfter);
     return offer;
   }
@@ -57,27 +108,47 @@
 }
 
 std::optional<WaitingCall> TakeNextCall(SlotQueue& queue, Millis now) {
-  if (queue.m_running >= queue.m_slots || queue.m_waiting.empty()) {
+  if (queue.m_running >= queue.m_slots) {
+    return std::nullopt;
+  }
+  auto next = queue.m_waiting.end();
+  for (auto call = queue.m_waiting.begin(); call != queue.m_waiting.end();
+       ++call) {
+    if (MayRun(queue, *call) &&
+        (next == queue.m_waiting.end() ||
+         OrderOf(queue, *call, now) < OrderOf(queue, *next, now))) {
+      next = call;
+    }
+  }
+  if (next == queue.m_waiting.end()) {
     return std::nullopt;
   }
-  const auto next = std::min_element(
-      queue.m_waiting.begin(), queue.m_waiting.end(),
-      [&](const WaitingCall& a, const WaitingCall& b) {
-        return OrderOf(queue, a, now) < OrderOf(queue, b, now);
-      });
   const WaitingCall call = *next;
   queue.m_waiting.erase(next);
   ++queue.m_running;
+  if (!call.m_nested) {
+    ++queue.m_running_roots;
+    ++queue.m_limits[call.m_route].m_running;
+  }
   return call;
 }
 
 void ReleaseSlot(SlotQueue& queue,
-                 const std::string& route,
-                 Millis duration,
-                 bool is_sample) {
+                 const WaitingCall& call,
+                 const SlotEnd& end,
+                 Millis now) {
   queue.m_running -= queue.m_running > 0 ? 1 : 0;
-  if (is_sample) {
-    RecordServiceTime(queue.m_times, route, duration);
+  if (end.m_answered) {
+    RecordServiceTime(queue.m_times, call.m_route, end.m_held);
+  }
+  if (call.m_nested) {
+    return;
+  }
+  queue.m_running_roots -= queue.m_running_roots > 0 ? 1 : 0;
+  RouteLimit& limit = queue.m_limits[call.m_route];
+  limit.m_running -= limit.m_running > 0 ? 1 : 0;
+  if (end.m_failed) {
+    RecordRouteEnd(limit, call.m_rank, *end.m_failed, SlotsOf(queue), now);
   }
 }
 
@@ -85,8 +156,8 @@
   const auto hopeless = std::stable_partition(
       queue.m_waiting.begin(), queue.m_waiting.end(),
       [&](const WaitingCall& call) {
-        return now + ExpectedServiceTime(queue.m_times, call.m_route) * 0.5 <=
-               call.m_deadline;
+        const Millis usual = ExpectedServiceTime(queue.m_times, call.m_route);
+        return now + usual * kHopelessShare <= call.m_deadline;
       });
   std::vector<WaitingCall> taken(hopeless, queue.m_waiting.end());
   queue.m_waiting.erase(hopeless, queue.m_waiting.end());
--- a/src/hemlockpoint/dispatch/slot_queue.h
+++ b/src/hemlockpoint/dispatch/slot_queue.h
@@ -3,10 +3,12 @@
 
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "hemlockpoint/base/ids.h"
 #include "hemlockpoint/base/millis.h"
+#include "hemlockpoint/dispatch/route_limit.h"
 #include "hemlockpoint/dispatch/service_times.h"
 #include "hemlockpoint/outcome/refusal.h"
 
@@ -18,6 +20,8 @@
   std::string m_route;
   /// 0 is the most important.
   std::uint64_t m_rank = 0;
+  /// Made by a target for a request that it works on.
+  bool m_nested = false;
   Millis m_arrival;
   /// When nobody waits for the answer any more.
   Millis m_deadline;
@@ -30,39 +34,57 @@
   /// Calls that the target works on at the same time.
   std::size_t m_slots = 0;
   std::size_t m_running = 0;
+  /// Those of m_running that no target has made.
+  std::size_t m_running_roots = 0;
   std::vector<WaitingCall> m_waiting;
   ServiceTimes m_times;
+  /// Limits of the routes by which requests enter.
+  std::unordered_map<std::string, RouteLimit> m_limits;
 };
 
 /// @brief Calls that wait at most; more than any target works off before
 /// their deadlines.
 inline constexpr std::size_t kMaxWaiting = 4096;
 
+/// @brief Part of the slots that requests get even while nested calls wait.
+inline constexpr double kRootShare = 0.15;
+
 /// @brief What becomes of an offered call.
 struct SlotOffer {
   bool m_accepted = false;
   Refusal m_refusal;
 };
 
+/// @brief How a call that held a slot has ended.
+struct SlotEnd {
+  Millis m_held;
+  /// The target has answered, so the time tells how long the work takes.
+  bool m_answered = false;
+  /// The target gave no answer in time, or a failure. Nothing when the call
+  /// says nothing of it, such as one that was cancelled.
+  std::optional<bool> m_failed;
+};
+
 /// @brief Puts a call among the waiting ones, or refuses it at once when its
-/// turn would come too late.
+/// turn would come too late: for a request that is not of the first rank,
+/// after its objective; for others, after the deadline. Nested calls wait, as
+/// long as there is any chance, since work has been done for them.
 [[nodiscard]] SlotOffer OfferCall(SlotQueue& queue,
                                   const WaitingCall& call,
                                   Millis now);
 
-/// @brief Takes the next call for a free slot: the most important rank;
-/// within it calls that can still be in time, the earliest objective first;
-/// then late ones.
-/// @return Nothing while no slot is free or no call waits.
+/// @brief Takes the next call for a free slot: nested calls first, but for
+/// kRootShare of the slots; then the most important rank; within it calls that
+/// can still be in time, the earliest objective first; then late ones.
+/// @return Nothing while no slot is free or no call may run.
 [[nodiscard]] std::optional<WaitingCall> TakeNextCall(SlotQueue& queue,
                                                       Millis now);
 
-/// @brief Frees the slot of a call that held it for `duration`.
-/// @param is_sample Whether the duration tells how long the work takes.
+/// @brief Frees the slot of a call.
 void ReleaseSlot(SlotQueue& queue,
-                 const std::string& route,
-                 Millis duration,
-                 bool is_sample);
+                 const WaitingCall& call,
+                 const SlotEnd& end,
+                 Millis now);
 
 /// @brief Takes out the calls that would end after their deadline if they
 /// began now.
@@ -73,8 +95,9 @@
 /// @return Whether it was waiting.
 bool RemoveWaiting(SlotQueue& queue, CallId call);
 
-/// @return How long a call of a rank would wait for its slot.
-[[nodiscard]] Millis ExpectedWait(const SlotQueue& queue, std::uint64_t rank);
+/// @return How long a call would wait for its slot.
+[[nodiscard]] Millis ExpectedWait(const SlotQueue& queue,
+                                  const WaitingCall& call);
 
 }  // namespace hemlockpoint
 
--- a/src/hemlockpoint/dispatch/target_choice.cc
+++ b/src/hemlockpoint/dispatch/target_choice.cc
@@ -21,8 +21,6 @@
 constexpr double kDoubtShare = 0.8;
 // The cost of crossing never outweighs a much better chance of an answer.
 constexpr double kMaxCrossingCost = 0.5;
-// Breaks ties in favour of the faster one.
-constexpr double kLatencyWeight = 0.05;
 constexpr double kKib = 1024;
 
 double ChanceInTime(Millis expected, Millis left) {
@@ -45,7 +43,7 @@
           : std::min(kMaxCrossingCost,
                      terms.m_bytes / kKib * terms.m_cost_per_kib);
   const Millis scale = Max(terms.m_objective_left, Millis(100));
-  return chance - crossing - kLatencyWeight * (expected / scale);
+  return chance - crossing - terms.m_time_weight * (expected / scale);
 }
 
 }  // namespace
--- a/src/hemlockpoint/dispatch/target_choice.h
+++ b/src/hemlockpoint/dispatch/target_choice.h
@@ -48,6 +48,9 @@
   double m_bytes = 0;
   /// Share of a call's worth that a KiB to another failure domain costs.
   double m_cost_per_kib = 0;
+  /// Worth of the objective's whole time: while runs that make calls fail for
+  /// lack of time, every call's time counts.
+  double m_time_weight = 0.05;
 };
 
 /// @brief Estimates when a target would have answered.
--- a/src/hemlockpoint/http/connection.cc
+++ b/src/hemlockpoint/http/connection.cc
@@ -50,6 +50,8 @@
     // closing it with unread bytes would destroy the response on its way.
     ErrorCode ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    // Ends the watch on the caller.
+    m_socket.cancel(ignored);
   }
   ++m_turn;
   m_idle_since = SteadyNow();
--- a/src/hemlockpoint/http/connection.h
+++ b/src/hemlockpoint/http/connection.h
@@ -41,6 +41,7 @@
   }
 
   boost::asio::ip::tcp::socket m_socket;
+  std::string m_peer_address;
   boost::beast::flat_buffer m_buffer;
   /// When the connection is closed if the current head is still incomplete.
   Millis m_head_deadline{1e300};
@@ -74,6 +75,9 @@
   void Finish();
 
   [[nodiscard]] const HttpRequestHead& head() const override { return m_head; }
+  [[nodiscard]] const std::string& peer_address() const override {
+    return m_connection->m_peer_address;
+  }
   [[nodiscard]] std::optional<std::string> ReadBody() override;
   [[nodiscard]] bool body_too_large() const override {
     return m_body_too_large;
--- a/src/hemlockpoint/http/server.cc
+++ b/src/hemlockpoint/http/server.cc
@@ -90,12 +90,18 @@
     connection->m_socket.set_option(tcp::no_delay(true), ignored);
     connection->m_socket.non_blocking(true, ignored);
     connection->m_idle_since = SteadyNow();
+    const auto peer = connection->m_socket.remote_endpoint(ignored);
+    connection->m_peer_address = peer.address().to_string(ignored);
     bool open = true;
     while (open && !connection->m_closing) {
       open = ReadOne(connection);
     }
-    connection->m_changed.Wait(
-        [&] { return connection->unanswered() == 0; });
+    // The caller may leave before the last request is answered.
+    if (!connection->m_closing && !connection->m_caller_gone &&
+        connection->unanswered() > 0) {
+      (void)AwaitFirstByte(*connection);
+    }
+    connection->m_changed.Wait([&] { return connection->unanswered() == 0; });
     Linger(*connection);
   }
 
@@ -142,6 +148,9 @@
       connection.m_socket.receive(asio::buffer(&byte, 1),
                                   tcp::socket::message_peek, error);
     }
+    if (error == asio::error::operation_aborted) {
+      return false;
+    }
     if (error && error != asio::error::would_block) {
       connection.OnCallerGone();
       return false;
--- a/src/hemlockpoint/relay/gate_dispatch.cc
+++ b/src/hemlockpoint/relay/gate_dispatch.cc
@@ -22,6 +22,11 @@
 constexpr std::size_t kLongBody = std::size_t{16} * 1024;
 // Answers up to this size are sent on in one message, and only when whole.
 constexpr std::size_t kWholeAnswerBytes = std::size_t{512} * 1024;
+constexpr unsigned kServerErrors = 500;
+// A call whose caller leaves this close to the deadline has timed out.
+constexpr double kTimedOutShare = 0.9;
+// The share of failures follows a change within some fifty calls.
+constexpr double kPressureGain = 0.02;
 
 }  // namespace
 
@@ -39,8 +44,19 @@
     session.m_changed.Wait([&] { return !session.m_writing; });
   }
   session.m_http.reset();
-  const Millis held = SteadyNow() - begun;
-  ReleaseSlot(m_queue, session.terms().m_route, held, sample);
+  const Millis now = SteadyNow();
+  const Millis held = now - begun;
+  SlotEnd slot_end;
+  slot_end.m_held = held;
+  slot_end.m_answered = sample;
+  const bool timed_out = held >= (session.m_deadline - begun) * kTimedOutShare;
+  if (session.m_handed_over && (!session.cancelled() || timed_out)) {
+    const bool failed = !sample || session.m_status >= kServerErrors ||
+                        session.cancelled();
+    slot_end.m_failed = failed;
+    m_pressure += ((failed ? 1.0 : 0.0) - m_pressure) * kPressureGain;
+  }
+  ReleaseSlot(m_queue, session.m_slot, slot_end, now);
   if (sample) {
     Record(m_core.m_metrics.m_service_time, held);
   }
@@ -169,6 +185,7 @@
   answer.m_complete = whole;
   answer.m_load = Load();
   session.m_answer_begun = true;
+  session.m_status = head.m_status;
   if (session.cancelled()) {
     return std::nullopt;
   }
--- a/src/hemlockpoint/relay/gate_session.h
+++ b/src/hemlockpoint/relay/gate_session.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "hemlockpoint/dispatch/slot_queue.h"
 #include "hemlockpoint/http/client.h"
 #include "hemlockpoint/runtime/fiber_event.h"
 #include "hemlockpoint/transport/call.h"
@@ -17,7 +18,10 @@
 
   CallId m_id;
   InboundCall m_call;
+  /// The call as it waits, and holds its slot.
+  WaitingCall m_slot;
   std::string m_body;
+  unsigned m_status = 0;
   Phase m_phase = Phase::kWaiting;
   /// Why the call was taken out of the queue.
   std::optional<Refusal> m_dropped;
--- a/src/hemlockpoint/relay/route_attempts.cc
+++ b/src/hemlockpoint/relay/route_attempts.cc
@@ -27,6 +27,10 @@
 // the answer's bytes while none is known.
 constexpr double kCrossingCostPerKib = 0.02;
 constexpr double kUsualAnswerBytes = 2048;
+// Share of failed runs that is the work's own, and what a greater share adds
+// to the worth of time: all of it when half of the runs fail.
+constexpr double kUsualPressure = 0.03;
+constexpr double kPressureWeight = 2;
 // Part of the repeats allowed to all nodes that a node spends by itself:
 // requests spread unevenly, and a repeat's own calls count as repeats too.
 constexpr double kRepeatRatioPart = 0.25;
@@ -56,6 +60,10 @@
   terms.m_objective_left = call.m_objective - now;
   terms.m_bytes = static_cast<double>(call.m_body.size()) + kUsualAnswerBytes;
   terms.m_cost_per_kib = kCrossingCostPerKib;
+  if (call.m_nested) {
+    terms.m_time_weight +=
+        std::max(0.0, m_gate.pressure() - kUsualPressure) * kPressureWeight;
+  }
   return ChooseTargetPeer(peers->second, call.m_tried, terms, m_core.Random(),
                           now);
 }
@@ -135,6 +143,7 @@
   terms.m_caller = CallerName(m_core.m_settings.m_target.m_service.value());
   terms.m_class = call.m_route->m_rank;
   terms.m_idempotent = call.m_route->m_kind == WorkKind::kSafe;
+  terms.m_depth = call.m_nested ? 1 : 0;
   terms.m_route = call.m_route->m_name.value();
   terms.m_time_left = call.m_deadline - now;
   terms.m_objective_left = call.m_objective - now;
--- a/src/hemlockpoint/relay/route_entry.cc
+++ b/src/hemlockpoint/relay/route_entry.cc
@@ -63,6 +63,8 @@
                                            HttpExchange& exchange) {
   const HttpRequestHead& head = exchange.head();
   call.m_terms = m_core.m_dialect.m_read_request(head);
+  call.m_nested = exchange.peer_address() ==
+                  m_core.m_settings.m_target.m_endpoint.m_address;
   if (auto refusal = ReadWholeBody(call, exchange)) {
     return refusal;
   }
--- a/src/hemlockpoint/relay/route_entry.h
+++ b/src/hemlockpoint/relay/route_entry.h
@@ -27,6 +27,8 @@
   std::size_t m_attempts = 0;
   bool m_any_unknown = false;
   bool m_caller_gone = false;
+  /// Made by the target beside this node, for a request that it works on.
+  bool m_nested = false;
   std::optional<OutboundCall> m_outbound;
 };
 
--- a/src/hemlockpoint/relay/slot_gate.cc
+++ b/src/hemlockpoint/relay/slot_gate.cc
@@ -230,7 +230,8 @@
   if (!CollectBody(*session)) {
     return;
   }
-  WaitingCall waiting;
+  WaitingCall& waiting = session->m_slot;
+  waiting.m_nested = session->terms().m_depth > 0;
   waiting.m_call = session->m_id;
   waiting.m_route = session->terms().m_route;
   waiting.m_rank = session->terms().m_class;
@@ -274,7 +275,7 @@
   while (const auto next = TakeNextCall(m_queue, now)) {
     const auto session = m_sessions.find(next->m_call);
     if (session == m_sessions.end()) {
-      ReleaseSlot(m_queue, next->m_route, Millis(0), false);
+      ReleaseSlot(m_queue, *next, {}, now);
       continue;
     }
     session->second->m_phase = GateSession::Phase::kRunning;
@@ -289,7 +290,7 @@
     if (session == m_sessions.end()) {
       continue;
     }
-    const Millis wait = ExpectedWait(m_queue, call.m_rank);
+    const Millis wait = ExpectedWait(m_queue, call);
     session->second->m_dropped =
         NotRun(reason, {"waited_ms", (now - call.m_arrival).value(), 0}, wait);
     session->second->m_phase = GateSession::Phase::kDropped;
--- a/src/hemlockpoint/relay/slot_gate.h
+++ b/src/hemlockpoint/relay/slot_gate.h
@@ -53,6 +53,8 @@
   [[nodiscard]] TargetSummary Summary() const;
   [[nodiscard]] std::size_t calls() const { return m_sessions.size(); }
   [[nodiscard]] const SlotQueue& queue() const { return m_queue; }
+  /// @return Share of the target's runs of late that failed or timed out.
+  [[nodiscard]] double pressure() const { return m_pressure; }
 
  private:
   std::optional<Refusal> Admission(const GateSession& session) const;
@@ -80,6 +82,7 @@
   std::function<void()> m_on_change;
   std::function<void(const std::vector<Fingerprint>&)> m_on_suspects;
   Millis m_down_until{-1e12};
+  double m_pressure = 0;
 };
 
 }  // namespace hemlockpoint
