--- a/src/hemlockpoint/dispatch/slot_queue.cc
+++ b/src/hemlockpoint/dispatch/slot_queue.cc
@@ -1,6 +1,7 @@
 #include "hemlockpoint/dispatch/slot_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace hemlockpoint {
@@ -11,8 +12,14 @@
 constexpr Millis kAssumedServiceTime(50);
 // Shortest delay for a caller to come back after; a slot's usual turnover.
 constexpr Millis kShortestRetryAfter(100);
-// Part of the usual time that a call may lack and still be begun.
-constexpr double kHopelessShare = 0.5;
+// Part of the usual time that must be left for a call to be begun. Nested
+// calls are given the benefit of the doubt, since work has been done for them.
+constexpr double kNestedHopelessShare = 0.5;
+constexpr double kRootHopelessShare = 1.0;
+// Room for the spread of service times in the promise of an admission.
+constexpr double kAdmissionMargin = 1.25;
+// Part of the slots that is used at most.
+constexpr double kUsedSlots = 0.95;
 
 bool IsLate(const SlotQueue& queue, const WaitingCall& call, Millis now) {
   return now + ExpectedServiceTime(queue.m_times, call.m_route) >
@@ -33,8 +40,15 @@
                          by.value());
 }
 
+// Slots that are used: a target slows down when the last ones are taken.
 double SlotsOf(const SlotQueue& queue) {
-  return std::max<double>(1, static_cast<double>(queue.m_slots));
+  return std::max(
+      1.0, std::floor(static_cast<double>(queue.m_slots) * kUsedSlots));
+}
+
+bool HasFreeSlot(const SlotQueue& queue) {
+  return queue.m_slots > 0 &&
+         static_cast<double>(queue.m_running) < SlotsOf(queue);
 }
 
 bool MayRun(const SlotQueue& queue, const WaitingCall& call) {
@@ -66,7 +80,7 @@
 }
 
 Millis WaitForSlot(const SlotQueue& queue, const WaitingCall& call) {
-  if (queue.m_running < queue.m_slots) {
+  if (HasFreeSlot(queue)) {
     return Millis(0);
   }
   const auto ahead = std::count_if(
@@ -88,7 +102,8 @@
   SlotOffer offer;
   const Millis wait = ExpectedWait(queue, call);
   const Millis finish =
-      now + wait + ExpectedServiceTime(queue.m_times, call.m_route);
+      now + wait +
+      ExpectedServiceTime(queue.m_times, call.m_route) * kAdmissionMargin;
   const bool full = queue.m_waiting.size() >= kMaxWaiting;
   const bool patient = call.m_nested || call.m_rank == 0;
   const Millis limit =
@@ -108,7 +123,7 @@
 }
 
 std::optional<WaitingCall> TakeNextCall(SlotQueue& queue, Millis now) {
-  if (queue.m_running >= queue.m_slots) {
+  if (!HasFreeSlot(queue)) {
     return std::nullopt;
   }
   auto next = queue.m_waiting.end();
@@ -157,7 +172,9 @@
       queue.m_waiting.begin(), queue.m_waiting.end(),
       [&](const WaitingCall& call) {
         const Millis usual = ExpectedServiceTime(queue.m_times, call.m_route);
-        return now + usual * kHopelessShare <= call.m_deadline;
+        const double share =
+            call.m_nested ? kNestedHopelessShare : kRootHopelessShare;
+        return now + usual * share <= call.m_deadline;
       });
   std::vector<WaitingCall> taken(hopeless, queue.m_waiting.end());
   queue.m_waiting.erase(hopeless, queue.m_waiting.end());
--- a/src/hemlockpoint/relay/gate_dispatch.cc
+++ b/src/hemlockpoint/relay/gate_dispatch.cc
@@ -48,8 +48,11 @@
   const Millis held = now - begun;
   SlotEnd slot_end;
   slot_end.m_held = held;
-  slot_end.m_answered = sample;
   const bool timed_out = held >= (session.m_deadline - begun) * kTimedOutShare;
+  // A failure's time says little of the work; one that ran out of time has
+  // taken that long at least.
+  slot_end.m_answered =
+      timed_out || (sample && session.m_status < kServerErrors);
   if (session.m_handed_over && (!session.cancelled() || timed_out)) {
     const bool failed = !sample || session.m_status >= kServerErrors ||
                         session.cancelled();
--- a/src/hemlockpoint/relay/metrics.cc
+++ b/src/hemlockpoint/relay/metrics.cc
@@ -1,6 +1,7 @@
 #include "hemlockpoint/relay/metrics.h"
 
 #include <algorithm>
+#include <numeric>
 #include <sstream>
 
 namespace hemlockpoint {
@@ -44,6 +45,19 @@
   histogram.m_sum += duration.value();
 }
 
+double RecentMean::Next(const LatencyHistogram& histogram) {
+  const std::uint64_t count =
+      std::accumulate(histogram.m_counts.begin(), histogram.m_counts.end(),
+                      std::uint64_t{0});
+  const double mean =
+      count == m_count ? 0
+                       : (histogram.m_sum - m_sum) /
+                             static_cast<double>(count - m_count);
+  m_sum = histogram.m_sum;
+  m_count = count;
+  return mean;
+}
+
 std::string MetricsText(const RelayMetrics& metrics,
                         const RelayGauges& gauges) {
   std::ostringstream text;
--- a/src/hemlockpoint/relay/metrics.h
+++ b/src/hemlockpoint/relay/metrics.h
@@ -22,6 +22,17 @@
 
 void Record(LatencyHistogram& histogram, Millis duration);
 
+/// @brief Means over what a histogram has taken in between two looks.
+class RecentMean {
+ public:
+  /// @return The mean in milliseconds since the last call; 0 for none.
+  double Next(const LatencyHistogram& histogram);
+
+ private:
+  double m_sum = 0;
+  std::uint64_t m_count = 0;
+};
+
 /// @brief Events of one node in route mode since its start.
 struct RelayMetrics {
   std::uint64_t m_requests = 0;
--- a/src/hemlockpoint/relay/relay_node.cc
+++ b/src/hemlockpoint/relay/relay_node.cc
@@ -21,6 +21,7 @@
 constexpr Millis kDrainPoll(20);
 constexpr Millis kCloseTimeout(300);
 constexpr Millis kProofLimit(2000);
+constexpr Millis kLoadLogPeriod(2000);
 
 HttpServerLimits OutsideLimits(const Settings& settings) {
   HttpServerLimits limits;
@@ -292,9 +293,25 @@
     m_loop.Spawn([this] { m_membership.Run(); });
     m_loop.Spawn([this] { m_gate.ProbeUntilKnown(); });
     m_loop.SpawnPeriodic(SlotGate::kTickPeriod, [this] { m_gate.Tick(); });
+    m_loop.SpawnPeriodic(kLoadLogPeriod, [this] { LogLoad(); });
     return std::nullopt;
   }
 
+  // Tells how the target's slots are used; requests that fail for lack of time
+  // are explained by these lines.
+  void LogLoad() {
+    const SlotQueue& queue = m_gate.queue();
+    const LatencyHistogram& waits = m_core.m_metrics.m_wait_time;
+    const LatencyHistogram& services = m_core.m_metrics.m_service_time;
+    LogLine(LogLevel::kInfo, "target_load")
+        .With("running", static_cast<std::uint64_t>(queue.m_running))
+        .With("waiting", static_cast<std::uint64_t>(queue.m_waiting.size()))
+        .With("slots", static_cast<std::uint64_t>(queue.m_slots))
+        .With("mean_wait_ms", m_wait_mean.Next(waits))
+        .With("mean_service_ms", m_service_mean.Next(services))
+        .With("pressure", m_gate.pressure());
+  }
+
   bool InFlight() const {
     return m_core.m_entry_calls > 0 || m_gate.calls() > 0;
   }
@@ -345,6 +362,8 @@
   }
 
   FiberLoop& m_loop;
+  RecentMean m_wait_mean;
+  RecentMean m_service_mean;
   RelayCore m_core;
   LinkLayer m_links;
   SlotGate m_gate;
