--- /dev/null
+++ b/test/hemlockpoint/dispatch/route_limit_test.cc
@@ -0,0 +1,66 @@
+#include "hemlockpoint/dispatch/route_limit.h"
+
+#include <gtest/gtest.h>
+
+namespace hemlockpoint {
+namespace {
+
+constexpr double kSlots = 40;
+
+// Ends `count` calls, of which a share fails.
+void End(RouteLimit& limit, std::uint64_t rank, int count, double failing) {
+  for (int i = 0; i < count; ++i) {
+    const bool failed = i % 10 < failing * 10;
+    RecordRouteEnd(limit, rank, failed, kSlots, Millis(i));
+  }
+}
+
+TEST(RouteLimit, FallsWithinTwentyFailedRuns) {
+  RouteLimit limit;
+  limit.m_running = 20;
+  End(limit, 2, 20, 1.0);
+  EXPECT_LE(limit.m_limit, 10);
+  EXPECT_FALSE(HasRouteRoom(limit, kSlots));
+}
+
+TEST(RouteLimit, KeepsEnoughRunningToNoticeTheEndOfAnOverload) {
+  RouteLimit limit;
+  limit.m_running = 2;
+  End(limit, 2, 1000, 1.0);
+  EXPECT_EQ(limit.m_limit, kLeastRouteLimit);
+  limit.m_running = 0;
+  EXPECT_TRUE(HasRouteRoom(limit, kSlots));
+}
+
+TEST(RouteLimit, GrowsAgainWhileItIsUsed) {
+  RouteLimit limit;
+  limit.m_running = 2;
+  End(limit, 2, 100, 1.0);
+  for (int i = 0; i < 10; ++i) {
+    limit.m_running = static_cast<std::size_t>(limit.m_limit);
+    End(limit, 2, 10, 0);
+  }
+  EXPECT_GE(limit.m_limit, 10);
+}
+
+TEST(RouteLimit, LessImportantWorkGivesWayFirst) {
+  RouteLimit orders;
+  RouteLimit lookups;
+  orders.m_running = lookups.m_running = 20;
+  End(orders, 0, 100, 0.3);
+  End(lookups, 2, 100, 0.3);
+  EXPECT_EQ(orders.m_limit, kSlots);
+  EXPECT_LT(lookups.m_limit, kSlots / 2);
+}
+
+TEST(RouteLimit, IsNotMovedByTheWorksOwnFailures) {
+  RouteLimit limit;
+  limit.m_running = 20;
+  for (int i = 0; i < 500; ++i) {
+    RecordRouteEnd(limit, 2, i % 50 == 0, kSlots, Millis(i));
+  }
+  EXPECT_EQ(limit.m_limit, kSlots);
+}
+
+}  // namespace
+}  // namespace hemlockpoint
--- /dev/null
+++ b/test/hemlockpoint/documents/document_store_test.cc
@@ -0,0 +1,52 @@
+#include "hemlockpoint/documents/document_store.h"
+
+#include <gtest/gtest.h>
+
+namespace hemlockpoint {
+namespace {
+
+DocumentChange Change(std::uint64_t base,
+                      std::uint64_t version,
+                      const char* text) {
+  DocumentChange change;
+  change.m_base = DocumentVersion(base);
+  change.m_version = DocumentVersion(version);
+  change.m_text.m_data = text;
+  return change;
+}
+
+TEST(DocumentStore, LetsOneOfTwoChangesWin) {
+  DocumentStore store;
+  EXPECT_EQ(ApplyDocumentChange(store, Change(0, 4, "a")),
+            DocumentVerdict::kAccepted);
+  EXPECT_EQ(ApplyDocumentChange(store, Change(4, 7, "b")),
+            DocumentVerdict::kAccepted);
+  // The same number, but another change.
+  EXPECT_EQ(ApplyDocumentChange(store, Change(4, 7, "c")),
+            DocumentVerdict::kConflict);
+  EXPECT_EQ(store.m_text, "b");
+}
+
+TEST(DocumentStore, AcceptsAResendAgainAfterLaterChangesAndASnapshot) {
+  DocumentStore store;
+  constexpr std::uint64_t kChanges = 500;
+  for (std::uint64_t i = 0; i < kChanges; ++i) {
+    ASSERT_EQ(ApplyDocumentChange(store, Change(i, i + 1, "x")),
+              DocumentVerdict::kAccepted);
+  }
+  auto restored = DecodeDocumentStore(EncodeDocumentStore(store));
+  ASSERT_TRUE(restored) << restored.reason();
+  EXPECT_EQ(ApplyDocumentChange(*restored, Change(0, 1, "x")),
+            DocumentVerdict::kAccepted);
+  EXPECT_EQ(restored->m_version, DocumentVersion(kChanges));
+}
+
+TEST(DocumentStore, WantsAHigherVersion) {
+  DocumentStore store;
+  (void)ApplyDocumentChange(store, Change(0, 4, "a"));
+  EXPECT_EQ(JudgeChange(store, Change(4, 4, "b")),
+            DocumentVerdict::kOldVersion);
+}
+
+}  // namespace
+}  // namespace hemlockpoint
--- /dev/null
+++ b/test/platform/platform_test.cc
@@ -0,0 +1,220 @@
+// Each translated message, and what hostile bytes do to it.
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "platform/announcements.h"
+#include "platform/dialect.h"
+#include "platform/documents.h"
+#include "platform/outside.h"
+
+namespace hemlockpoint::platform {
+namespace {
+
+constexpr const char* kReport =
+    R"({"service":"stock","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":36,"state":"ready","cold_remaining_ms":5,"sequence":4,"born":9})";
+
+std::string Document(const std::string& route) {
+  return R"({"version":"0000000c","routes":[)" + route +
+         R"(],"services":[{"name":"stock","health_path":"/h",)"
+         R"("max_connections":9,"protocol":"h1","tls":false}],)"
+         R"("limits":{"max_header_bytes":1,"max_body_bytes":2,)"
+         R"("header_timeout_ms":3,"idle_timeout_ms":4}})";
+}
+
+constexpr const char* kRoute =
+    R"({"name":"r","hostname":"h","path_prefix":"/a/","kind":"safe",)"
+    R"("timeout_ms":1200,"target_latency_ms":2000,"priority":2,)"
+    R"("service":"stock","max_attempts":2})";
+
+TEST(Announcements, ReadsAReport) {
+  const auto report = ReadReport("i-1", kReport);
+  ASSERT_TRUE(report) << report.reason();
+  EXPECT_EQ(report->m_slots, 36U);
+  EXPECT_EQ(report->m_born, 9U);
+  EXPECT_EQ(report->m_cold_for, Millis(5));
+  EXPECT_FALSE(report->m_draining);
+}
+
+TEST(Announcements, NamesNoTargetWhenAFieldIsMissingOrOfAnotherType) {
+  for (const char* name : {"service", "address", "slots", "state", "sequence"}) {
+    auto json = nlohmann::json::parse(kReport);
+    json[name] = nlohmann::json::array({1});
+    EXPECT_FALSE(ReadReport("i-1", json.dump())) << name;
+    json.erase(name);
+    EXPECT_FALSE(ReadReport("i-1", json.dump())) << name;
+  }
+  auto json = nlohmann::json::parse(kReport);
+  json["state"] = "asleep";
+  EXPECT_FALSE(ReadReport("i-1", json.dump()));
+  json = nlohmann::json::parse(kReport);
+  json["slots"] = -1;
+  EXPECT_FALSE(ReadReport("i-1", json.dump()));
+  EXPECT_FALSE(ReadReport("i-1", "[]"));
+  EXPECT_FALSE(ReadReport("", kReport));
+}
+
+RC_GTEST_PROP(Announcements, SurvivesAnyBytes, (const std::string& bytes)) {
+  (void)ReadReport("i", bytes);
+  (void)ReadWithdrawal("i", bytes);
+}
+
+RC_GTEST_PROP(Announcements, SurvivesTornAndChangedBytes, ()) {
+  std::string bytes = kReport;
+  bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+      *rc::gen::arbitrary<char>();
+  bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+  (void)ReadReport("i", bytes);
+}
+
+TEST(Documents, ReadsRoutesServicesAndBounds) {
+  const auto document = ReadRouteDocument(Document(kRoute));
+  ASSERT_TRUE(document) << document.reason();
+  EXPECT_EQ(document->m_version, DocumentVersion(12));
+  EXPECT_EQ(document->m_routes[0].m_objective, Millis(2000));
+  EXPECT_EQ(document->m_routes[0].m_kind, WorkKind::kSafe);
+  EXPECT_EQ(document->m_services[0].m_max_connections, 9U);
+  EXPECT_EQ(document->m_bounds.m_idle_timeout, Millis(4));
+}
+
+TEST(Documents, ReadsWeights) {
+  auto route = nlohmann::json::parse(kRoute);
+  route.erase("service");
+  route["weighted_services"] = {{{"service", "stock"}, {"weight", 90}},
+                                {{"service", "stock"}, {"weight", 10}}};
+  const auto document = ReadRouteDocument(Document(route.dump()));
+  ASSERT_TRUE(document) << document.reason();
+  EXPECT_EQ(document->m_routes[0].m_services[0].m_weight, 90U);
+}
+
+TEST(Documents, RefusesWhatIsInvalid) {
+  const std::vector<std::pair<const char*, nlohmann::json>> faults = {
+      {"service", "nowhere"}, {"max_attempts", 0}, {"path_prefix", "a/"},
+      {"hostname", ""},       {"kind", "odd"},     {"priority", "high"}};
+  for (const auto& [name, value] : faults) {
+    auto route = nlohmann::json::parse(kRoute);
+    route[name] = value;
+    EXPECT_FALSE(ReadRouteDocument(Document(route.dump()))) << name;
+  }
+  const std::string whole = Document(kRoute);
+  EXPECT_FALSE(ReadRouteDocument(whole.substr(0, whole.size() / 2)));
+  EXPECT_FALSE(ReadVersion("c"));
+  EXPECT_FALSE(ReadVersion("0000000g"));
+  EXPECT_EQ(WriteVersion(DocumentVersion(12)), "0000000c");
+}
+
+RC_GTEST_PROP(Documents, SurvivesTornAndChangedBytes, ()) {
+  std::string bytes = Document(kRoute);
+  bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+      *rc::gen::arbitrary<char>();
+  bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+  (void)ReadRouteDocument(bytes);
+}
+
+TEST(Dialect, SetsWhatTheSystemSaysWhateverWasSent) {
+  HeaderFields fields = {{"X-Caller-Service", "forged"},
+                         {"x-deadline-ms", "99999"},
+                         {"X-Expect-Instance", "forged"},
+                         {"X-Request-Id", "r1"}};
+  PlatformDialect().m_write_dispatch(
+      fields, {Millis(250.7), "i-1", ServiceName("gate")});
+  EXPECT_EQ(FindHeader(fields, "X-Deadline-Ms"), "250");
+  EXPECT_EQ(FindHeader(fields, "X-Caller-Service"), "gate");
+  EXPECT_EQ(FindHeader(fields, "X-Expect-Instance"), "i-1");
+  EXPECT_EQ(FindHeader(fields, "X-Request-Id"), "r1");
+  EXPECT_EQ(fields.size(), 4U);
+}
+
+TEST(Dialect, TellsForeignAnswersByTheirId) {
+  HttpResponseHead head;
+  head.m_status = 200;
+  head.m_headers = {{"X-Request-Id", "r1"}, {"X-Server-Seal", "s"}};
+  const auto read = PlatformDialect().m_read_answer;
+  EXPECT_FALSE(read(head, RequestId("r1")).m_is_foreign);
+  EXPECT_TRUE(read(head, RequestId("r2")).m_is_foreign);
+  head.m_headers.pop_back();
+  EXPECT_TRUE(read(head, RequestId("r1")).m_is_foreign);
+}
+
+TEST(Dialect, ReadsALoadAndSurvivesABrokenOne) {
+  HttpResponseHead head;
+  head.m_headers = {{"X-Server-Load", "3,1,8,250"}};
+  const auto read = PlatformDialect().m_read_answer;
+  EXPECT_EQ(read(head, RequestId()).m_load->m_slowdown, 2.5);
+  for (const char* broken : {"", "3", "3,1", "3,1,x", "a,b,c", ",,,"}) {
+    head.m_headers[0].m_value = broken;
+    EXPECT_FALSE(read(head, RequestId()).m_load) << broken;
+  }
+}
+
+TEST(Dialect, AnUnknownEndNeverPromisesThatNothingHasRun) {
+  for (std::size_t i = 0; i < kReasonCount; ++i) {
+    const Refusal refusal = EndedUnknown(static_cast<Reason>(i), {});
+    const auto head =
+        PlatformDialect().m_write_refusal(refusal, RequestId("r"));
+    EXPECT_TRUE(head.m_status == 502 || head.m_status == 504) << i;
+    EXPECT_FALSE(FindHeader(head.m_headers, "Retry-After")) << i;
+  }
+}
+
+TEST(Dialect, ARefusalNamesWhenToComeBack) {
+  Refusal refusal = RefuseBySignal(Reason::kDeadlineUnreachable, {});
+  refusal.m_retry_after = Millis(1250);
+  const auto head = PlatformDialect().m_write_refusal(refusal, RequestId("r"));
+  EXPECT_EQ(head.m_status, 503U);
+  EXPECT_EQ(FindHeader(head.m_headers, "Retry-After"), "1.250");
+}
+
+TEST(Outside, ANodeTakesReportsAndRefusesTheRest) {
+  std::string reported;
+  OutsideOperations node;
+  node.m_report = [&](const TargetReport& report) {
+    reported = report.m_instance;
+  };
+  node.m_withdraw = [&](const TargetWithdrawal&) { reported = "gone"; };
+  AdminRequest request;
+  request.m_method = "PUT";
+  request.m_path = "/hemlockpoint/instances/i-7";
+  request.m_body = kReport;
+  EXPECT_EQ(ServeOutside(request, node).m_status, 200U);
+  EXPECT_EQ(reported, "i-7");
+  request.m_body = "torn";
+  EXPECT_EQ(ServeOutside(request, node).m_status, 400U);
+  request.m_method = "DELETE";
+  EXPECT_EQ(ServeOutside(request, node).m_status, 200U);
+  EXPECT_EQ(reported, "gone");
+  request.m_path = "/hemlockpoint/config";
+  EXPECT_EQ(ServeOutside(request, node).m_status, 404U);
+}
+
+TEST(Outside, AControlHostAnswersForTheLeaderOrNamesIt) {
+  DocumentAnswer answer;
+  OutsideOperations control;
+  control.m_change_document = [&](const DocumentChange&) { return answer; };
+  control.m_read_document = [&] { return answer; };
+  AdminRequest request;
+  request.m_method = "PUT";
+  request.m_path = "/hemlockpoint/config";
+  request.m_headers = {{"If-Match", "00000000"}};
+  request.m_body = Document(kRoute);
+  using Kind = DocumentAnswer::Kind;
+  const std::vector<std::pair<Kind, unsigned>> statuses = {
+      {Kind::kAccepted, 200}, {Kind::kConflict, 412}, {Kind::kInvalid, 400},
+      {Kind::kNotLeader, 503}, {Kind::kUnknown, 503}};
+  for (const auto& [kind, status] : statuses) {
+    answer.m_kind = kind;
+    EXPECT_EQ(ServeOutside(request, control).m_status, status);
+  }
+  answer.m_kind = Kind::kNotLeader;
+  answer.m_leader = "10.0.0.4:8080";
+  const AdminResponse redirect = ServeOutside(request, control);
+  EXPECT_EQ(redirect.m_status, 307U);
+  EXPECT_EQ(FindHeader(redirect.m_headers, "Location"),
+            "http://10.0.0.4:8080/hemlockpoint/config");
+  request.m_headers.clear();
+  EXPECT_EQ(ServeOutside(request, control).m_status, 400U);
+}
+
+}  // namespace
+}  // namespace hemlockpoint::platform
