--- a/src/hemlockpoint/dispatch/route_limit.cc
+++ b/src/hemlockpoint/dispatch/rank_limit.cc
@@ -1,4 +1,4 @@
-#include "hemlockpoint/dispatch/route_limit.h"
+#include "hemlockpoint/dispatch/rank_limit.h"
 
 #include <algorithm>
 
@@ -20,14 +20,14 @@
 double ToleratedFailures(std::uint64_t rank) {
   constexpr double kMostImportant = 0.5;
   constexpr double kImportant = 0.3;
-  constexpr double kOther = 0.1;
+  constexpr double kOther = 0.15;
   if (rank == 0) {
     return kMostImportant;
   }
   return rank == 1 ? kImportant : kOther;
 }
 
-void RecordRouteEnd(RouteLimit& limit,
+void RecordRankEnd(RankLimit& limit,
                     std::uint64_t rank,
                     bool failed,
                     double slots,
@@ -52,14 +52,14 @@
   } else if (running + 1 >= limit.m_limit * 0.8) {
     limit.m_limit += kRaise;
   }
-  limit.m_limit = std::clamp(limit.m_limit, kLeastRouteLimit,
-                             std::max(kLeastRouteLimit, slots));
+  limit.m_limit = std::clamp(limit.m_limit, kLeastRankLimit,
+                             std::max(kLeastRankLimit, slots));
   limit.m_ends = 0;
   limit.m_failures = 0;
   limit.m_changed = now;
 }
 
-bool HasRouteRoom(const RouteLimit& limit, double slots) {
+bool HasRankRoom(const RankLimit& limit, double slots) {
   const double bound = limit.m_limit > 0 ? limit.m_limit : slots;
   return static_cast<double>(limit.m_running) + 1 <= std::max(1.0, bound);
 }
--- a/src/hemlockpoint/dispatch/route_limit.h
+++ b/src/hemlockpoint/dispatch/rank_limit.h
@@ -1,5 +1,5 @@
-#ifndef HEMLOCKPOINT_DISPATCH_ROUTE_LIMIT_H_
-#define HEMLOCKPOINT_DISPATCH_ROUTE_LIMIT_H_
+#ifndef HEMLOCKPOINT_DISPATCH_RANK_LIMIT_H_
+#define HEMLOCKPOINT_DISPATCH_RANK_LIMIT_H_
 
 #include <cstdint>
 
@@ -7,10 +7,10 @@
 
 namespace hemlockpoint {
 
-/// @brief How many calls of one route a target works on at the same time,
+/// @brief How many requests of one rank a target works on at the same time,
 /// found from how they end. Work that calls further services fails when one
 /// of those is overloaded, which the target's own slots don't show.
-struct RouteLimit {
+struct RankLimit {
   double m_limit = 0;
   std::size_t m_running = 0;
   /// Ends since the limit was changed last.
@@ -19,9 +19,9 @@
   Millis m_changed;
 };
 
-/// @brief Calls of a route that may always run, so that the end of an
+/// @brief Requests of a rank that may always run, so that the end of an
 /// overload is noticed.
-inline constexpr double kLeastRouteLimit = 2;
+inline constexpr double kLeastRankLimit = 2;
 
 /// @brief Share of failures that is taken for the work's own, by importance:
 /// less important work gives way first.
@@ -31,15 +31,15 @@
 /// @brief Takes in how a call has ended, and raises the limit by addition or
 /// lowers it by a factor.
 /// @param slots The target's slots, which no limit exceeds.
-void RecordRouteEnd(RouteLimit& limit,
+void RecordRankEnd(RankLimit& limit,
                     std::uint64_t rank,
                     bool failed,
                     double slots,
                     Millis now);
 
-/// @return Whether another call of the route may run.
-[[nodiscard]] bool HasRouteRoom(const RouteLimit& limit, double slots);
+/// @return Whether another request of the rank may run.
+[[nodiscard]] bool HasRankRoom(const RankLimit& limit, double slots);
 
 }  // namespace hemlockpoint
 
-#endif  // HEMLOCKPOINT_DISPATCH_ROUTE_LIMIT_H_
+#endif  // HEMLOCKPOINT_DISPATCH_RANK_LIMIT_H_
--- a/src/hemlockpoint/dispatch/slot_queue.cc
+++ b/src/hemlockpoint/dispatch/slot_queue.cc
@@ -55,9 +55,9 @@
   if (call.m_nested) {
     return true;
   }
-  const auto limit = queue.m_limits.find(call.m_route);
+  const auto limit = queue.m_limits.find(call.m_rank);
   return limit == queue.m_limits.end() ||
-         HasRouteRoom(limit->second, SlotsOf(queue));
+         HasRankRoom(limit->second, SlotsOf(queue));
 }
 
 Millis MeanTime(const SlotQueue& queue) {
@@ -65,15 +65,17 @@
                                            : queue.m_times.m_mean;
 }
 
-Millis WaitForRoute(const SlotQueue& queue, const WaitingCall& call) {
-  const auto limit = queue.m_limits.find(call.m_route);
+Millis WaitForRank(const SlotQueue& queue, const WaitingCall& call) {
+  const auto limit = queue.m_limits.find(call.m_rank);
   if (call.m_nested || limit == queue.m_limits.end() ||
-      HasRouteRoom(limit->second, SlotsOf(queue))) {
+      HasRankRoom(limit->second, SlotsOf(queue))) {
     return Millis(0);
   }
   const auto ahead = std::count_if(
       queue.m_waiting.begin(), queue.m_waiting.end(),
-      [&](const WaitingCall& other) { return other.m_route == call.m_route; });
+      [&](const WaitingCall& other) {
+        return !other.m_nested && other.m_rank == call.m_rank;
+      });
   const Millis usual = ExpectedServiceTime(queue.m_times, call.m_route);
   return usual * ((static_cast<double>(ahead) + 1) /
                   std::max(1.0, limit->second.m_limit));
@@ -95,7 +97,7 @@
 }  // namespace
 
 Millis ExpectedWait(const SlotQueue& queue, const WaitingCall& call) {
-  return Max(WaitForSlot(queue, call), WaitForRoute(queue, call));
+  return Max(WaitForSlot(queue, call), WaitForRank(queue, call));
 }
 
 SlotOffer OfferCall(SlotQueue& queue, const WaitingCall& call, Millis now) {
@@ -143,7 +145,7 @@
   ++queue.m_running;
   if (!call.m_nested) {
     ++queue.m_running_roots;
-    ++queue.m_limits[call.m_route].m_running;
+    ++queue.m_limits[call.m_rank].m_running;
   }
   return call;
 }
@@ -160,10 +162,10 @@
     return;
   }
   queue.m_running_roots -= queue.m_running_roots > 0 ? 1 : 0;
-  RouteLimit& limit = queue.m_limits[call.m_route];
+  RankLimit& limit = queue.m_limits[call.m_rank];
   limit.m_running -= limit.m_running > 0 ? 1 : 0;
   if (end.m_failed) {
-    RecordRouteEnd(limit, call.m_rank, *end.m_failed, SlotsOf(queue), now);
+    RecordRankEnd(limit, call.m_rank, *end.m_failed, SlotsOf(queue), now);
   }
 }
 
--- a/src/hemlockpoint/dispatch/slot_queue.h
+++ b/src/hemlockpoint/dispatch/slot_queue.h
@@ -8,7 +8,7 @@
 
 #include "hemlockpoint/base/ids.h"
 #include "hemlockpoint/base/millis.h"
-#include "hemlockpoint/dispatch/route_limit.h"
+#include "hemlockpoint/dispatch/rank_limit.h"
 #include "hemlockpoint/dispatch/service_times.h"
 #include "hemlockpoint/outcome/refusal.h"
 
@@ -38,8 +38,9 @@
   std::size_t m_running_roots = 0;
   std::vector<WaitingCall> m_waiting;
   ServiceTimes m_times;
-  /// Limits of the routes by which requests enter.
-  std::unordered_map<std::string, RouteLimit> m_limits;
+  /// Limits of requests by rank. Routes of one rank share a limit: they are
+  /// many, and each alone ends too seldom to tell anything in time.
+  std::unordered_map<std::uint64_t, RankLimit> m_limits;
 };
 
 /// @brief Calls that wait at most; more than any target works off before
--- a/src/hemlockpoint/log/log.cc
+++ b/src/hemlockpoint/log/log.cc
@@ -1,6 +1,7 @@
 #include "hemlockpoint/log/log.h"
 
 #include <array>
+#include <cmath>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
@@ -38,6 +39,38 @@
   return logger;
 }
 
+// Lines written in the current second, and those held back.
+struct LineBudget {
+  double m_second = 0;
+  std::uint64_t m_written = 0;
+  std::uint64_t m_suppressed = 0;
+};
+
+LineBudget g_budget;
+
+// Returns whether a line of a level may be written now. Warnings and errors
+// always may; they are few.
+bool TakeLine(LogLevel level) {
+  constexpr double kMillisPerSecond = 1000;
+  const double second = std::floor(SteadyNow().value() / kMillisPerSecond);
+  if (second != g_budget.m_second) {
+    const std::uint64_t suppressed = g_budget.m_suppressed;
+    g_budget = {second, 0, 0};
+    if (suppressed > 0) {
+      LogLine(LogLevel::kWarning, "lines_suppressed").With("count", suppressed);
+    }
+  }
+  if (level >= LogLevel::kWarning) {
+    return true;
+  }
+  if (g_budget.m_written >= kMaxLinesPerSecond) {
+    ++g_budget.m_suppressed;
+    return false;
+  }
+  ++g_budget.m_written;
+  return true;
+}
+
 std::string FormatNumber(double value) {
   std::array<char, 32> buffer{};
   std::snprintf(buffer.data(), buffer.size(), "%.3f", value);
@@ -82,7 +115,8 @@
 }
 
 LogLine::LogLine(LogLevel level, std::string_view event)
-    : m_level(level), m_enabled(g_sink && level >= g_minimum) {
+    : m_level(level),
+      m_enabled(g_sink && level >= g_minimum && TakeLine(level)) {
   if (!m_enabled) {
     return;
   }
--- a/src/hemlockpoint/log/log.h
+++ b/src/hemlockpoint/log/log.h
@@ -21,6 +21,10 @@
 /// when the queue is full, events are dropped rather than delaying calls.
 void StartLog(LogLevel level, LogStream stream = LogStream::kStandardError);
 
+/// @brief Lines of the levels debug and info that a process writes in a second
+/// at most. Those beyond are counted, and the count is written.
+inline constexpr std::uint64_t kMaxLinesPerSecond = 300;
+
 /// @brief Changes the level of a log that was started.
 void SetLogLevel(LogLevel level);
 
--- a/src/hemlockpoint/relay/gate_dispatch.cc
+++ b/src/hemlockpoint/relay/gate_dispatch.cc
@@ -25,6 +25,7 @@
 constexpr unsigned kServerErrors = 500;
 // A call whose caller leaves this close to the deadline has timed out.
 constexpr double kTimedOutShare = 0.9;
+constexpr double kCloseShare = 0.85;
 // The share of failures follows a change within some fifty calls.
 constexpr double kPressureGain = 0.02;
 
@@ -56,7 +57,9 @@
   if (session.m_handed_over && (!session.cancelled() || timed_out)) {
     const bool failed = !sample || session.m_status >= kServerErrors ||
                         session.cancelled();
-    slot_end.m_failed = failed;
+    // Runs that just made it tell of an overload before the first one fails.
+    const bool close = held >= (session.m_deadline - begun) * kCloseShare;
+    slot_end.m_failed = failed || close;
     m_pressure += ((failed ? 1.0 : 0.0) - m_pressure) * kPressureGain;
   }
   ReleaseSlot(m_queue, session.m_slot, slot_end, now);
--- a/src/hemlockpoint/relay/route_attempts.cc
+++ b/src/hemlockpoint/relay/route_attempts.cc
@@ -31,6 +31,9 @@
 // to the worth of time: all of it when half of the runs fail.
 constexpr double kUsualPressure = 0.03;
 constexpr double kPressureWeight = 2;
+// A call that ran out of time after this many times its usual time is held
+// against its target.
+constexpr double kOverdueFactor = 2;
 // Part of the repeats allowed to all nodes that a node spends by itself:
 // requests spread unevenly, and a repeat's own calls count as repeats too.
 constexpr double kRepeatRatioPart = 0.25;
@@ -86,6 +89,7 @@
     AttemptEnd end = TryTarget(call, *node);
     RecordEnd(call, *node, end, sent);
     if (end.m_answer) {
+      LogAnswer(call, *node, end);
       RelayAnswer(call, *end.m_answer, exchange);
       return std::nullopt;
     }
@@ -114,6 +118,30 @@
   return last;
 }
 
+// Answers in time are the rule, and told at the debug level only.
+void RouteEntry::LogAnswer(const EntryCall& call,
+                           const NodeId& node,
+                           const AttemptEnd& end) const {
+  constexpr std::uint64_t kServerError = 500;
+  const Millis now = SteadyNow();
+  const bool remarkable =
+      end.m_answer->m_status >= kServerError || now > call.m_objective;
+  const LoadReport& load = end.m_answer->m_load;
+  LogLine(remarkable ? LogLevel::kInfo : LogLevel::kDebug, "request_answered")
+      .With("request_id", call.m_terms.m_id.value())
+      .With("route", call.m_route->m_name.value())
+      .With("target_node", node.value())
+      .With("status", end.m_answer->m_status)
+      .With("attempts", static_cast<std::uint64_t>(call.m_attempts + 1))
+      .With("nested", call.m_nested ? "yes" : "no")
+      .With("held_ms", (now - call.m_arrival).value())
+      .With("objective_ms", (call.m_objective - call.m_arrival).value())
+      .With("deadline_ms", (call.m_deadline - call.m_arrival).value())
+      .With("target_running", load.m_in_flight)
+      .With("target_waiting", load.m_queued)
+      .With("document", call.m_table->m_document.m_version.value());
+}
+
 // A request that reached a target goes to another one only if it may run
 // twice, or the first has said that it hasn't run it.
 bool RouteEntry::MayRepeat(EntryCall& call, const Refusal& refusal) {
@@ -256,9 +284,14 @@
       peer.m_avoid_until = now + kAvoidLeaving;
       break;
     case Reason::kTargetLost:
-    case Reason::kDeadlinePassed:
       RecordTargetOutcome(peer, now - sent, typical, true);
       break;
+    case Reason::kDeadlinePassed:
+      // A call that had less time than it usually takes says nothing.
+      if (!call.m_caller_gone && now - sent > typical * kOverdueFactor) {
+        RecordTargetOutcome(peer, now - sent, typical, true);
+      }
+      break;
     default:
       break;
   }
--- a/src/hemlockpoint/relay/route_entry.h
+++ b/src/hemlockpoint/relay/route_entry.h
@@ -65,6 +65,9 @@
                  const NodeId& node,
                  const AttemptEnd& end,
                  Millis sent);
+  void LogAnswer(const EntryCall& call,
+                 const NodeId& node,
+                 const AttemptEnd& end) const;
   void RelayAnswer(EntryCall& call,
                    const AnswerStart& answer,
                    HttpExchange& exchange);
--- /dev/null
+++ b/src/hemlockpoint/transport/link_state.h
@@ -0,0 +1,340 @@
+#ifndef HEMLOCKPOINT_TRANSPORT_LINK_STATE_H_
+#define HEMLOCKPOINT_TRANSPORT_LINK_STATE_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "hemlockpoint/log/log.h"
+#include "hemlockpoint/peer/peer_hub.h"
+#include "hemlockpoint/transport/link_layer.h"
+#include "hemlockpoint/wire/codec.h"
+
+namespace hemlockpoint {
+
+namespace internal {
+
+/// @brief Queued bytes above which body chunks wait, so that short messages
+/// don't stand behind them.
+inline constexpr std::size_t kMaxBufferedBytes = std::size_t{512} * 1024;
+inline constexpr Millis kBufferPoll(0.5);
+/// @brief Time for a peer to greet after its link has opened.
+inline constexpr Millis kGreetingTimeout(2000);
+/// @brief Silence after which a peer is asked for a sign of life: sooner while
+/// calls wait for it.
+inline constexpr Millis kPingAfter(1000);
+inline constexpr Millis kPingWithCallsAfter(400);
+/// @brief Time for that sign. Packets on a choked link wait half a second
+/// each way.
+inline constexpr Millis kPingTimeout(1000);
+inline constexpr Millis kPingCheck(200);
+
+using CallTable = std::unordered_map<CallId, std::shared_ptr<CallState>>;
+
+/// @brief One link as the layer knows it.
+struct LinkInfo {
+  bool m_inbound = false;
+  bool m_greeted = false;
+  NodeId m_peer;
+  Endpoint m_endpoint;
+  CallTable m_calls;
+  std::uint64_t m_last_call = 0;
+  Millis m_opened;
+  /// When the peer was heard last.
+  Millis m_heard;
+  /// When a ping was sent that nothing has followed; 0 for none.
+  Millis m_pinged;
+};
+
+}  // namespace internal
+
+/// @brief What a link layer holds; its methods run on the loop's thread.
+struct LinkLayer::State {
+  using LinkInfo = internal::LinkInfo;
+  class LinkSender;
+  class LinkRequestSender;
+  class LinkAnswerSender;
+
+  State(FiberLoop& loop, Hello hello, std::size_t max_calls, LinkEvents events)
+      : m_loop(loop),
+        m_hello(std::move(hello)),
+        m_max_calls(max_calls),
+        m_events(std::move(events)),
+        m_hub(
+            loop.io(),
+            {[this](LinkId id, bool inbound) { Opened(id, inbound); },
+             [this](LinkId id, std::string_view bytes) { Received(id, bytes); },
+             [this](LinkId id) { Closed(id); }}) {}
+
+  bool Send(LinkId id, const Message& message) {
+    const std::string bytes = EncodeMessage(message);
+    if (!m_hub.Send(id, bytes)) {
+      return false;
+    }
+    ++m_counters.m_messages_sent;
+    m_counters.m_bytes_sent += bytes.size();
+    return true;
+  }
+
+  // Waits until short messages would not be held up by what is queued.
+  bool SendBulk(LinkId id, const Message& message) {
+    while (m_hub.Buffered(id) > internal::kMaxBufferedBytes) {
+      SleepFor(internal::kBufferPoll);
+    }
+    return Send(id, message);
+  }
+
+  void Opened(LinkId id, bool inbound) {
+    LinkInfo& link = m_links[id];
+    link.m_inbound = inbound;
+    link.m_opened = SteadyNow();
+    Send(id, m_hello);
+  }
+
+  void Closed(LinkId id) {
+    const auto found = m_links.find(id);
+    if (found == m_links.end()) {
+      return;
+    }
+    LinkInfo link = std::move(found->second);
+    m_links.erase(found);
+    if (!link.m_inbound) {
+      const auto by_endpoint = m_by_endpoint.find(link.m_endpoint);
+      if (by_endpoint != m_by_endpoint.end() && by_endpoint->second == id) {
+        m_by_endpoint.erase(by_endpoint);
+      }
+    }
+    m_calls -= link.m_calls.size();
+    EndCalls(link);
+    m_greeted.Notify();
+    if (link.m_greeted) {
+      m_events.m_closed(id, link.m_peer);
+    }
+  }
+
+  static void EndCalls(const LinkInfo& link) {
+    for (const auto& [call, state] : link.m_calls) {
+      if (link.m_inbound) {
+        state->Cancel();
+      } else {
+        state->Lose();
+      }
+    }
+  }
+
+  void Received(LinkId id, std::string_view bytes) {
+    const auto found = m_links.find(id);
+    if (found == m_links.end()) {
+      return;
+    }
+    found->second.m_heard = SteadyNow();
+    found->second.m_pinged = Millis(0);
+    ++m_counters.m_messages_received;
+    m_counters.m_bytes_received += bytes.size();
+    Result<Message> message = DecodeMessage(bytes);
+    if (!message) {
+      Reject(id, found->second, message.reason());
+      return;
+    }
+    if (!found->second.m_greeted) {
+      Greet(id, found->second, *message);
+      return;
+    }
+    std::visit([&](auto& value) { Handle(id, found->second, value); },
+               *message);
+  }
+
+  void Reject(LinkId id, const LinkInfo& link, const std::string& reason) {
+    ++m_counters.m_rejected_messages;
+    LogLine(LogLevel::kWarning, "peer_rejected")
+        .With("link", id.value())
+        .With("peer", link.m_peer.value())
+        .With("reason", reason);
+    m_hub.Close(id);
+  }
+
+  void Greet(LinkId id, LinkInfo& link, const Message& message) {
+    const Hello* hello = std::get_if<Hello>(&message);
+    if (hello == nullptr) {
+      Reject(id, link, "message before the greeting");
+    } else if (hello->m_version != kProtocolVersion) {
+      Reject(id, link, "protocol version " + std::to_string(hello->m_version));
+    } else if (hello->m_group != m_hello.m_group) {
+      Reject(id, link, "member of another group: " + hello->m_group);
+    } else {
+      link.m_greeted = true;
+      link.m_heard = SteadyNow();
+      link.m_peer = hello->m_node;
+      m_greeted.Notify();
+    }
+  }
+
+  template <typename Other>
+  void Handle(LinkId id, LinkInfo& link, Other& message) {
+    m_events.m_message(id, link.m_peer, Message(std::move(message)));
+  }
+
+  void Handle(LinkId id, LinkInfo& link, Hello&) {
+    Reject(id, link, "greeted twice");
+  }
+
+  void Handle(LinkId id, LinkInfo&, Ping& ping) {
+    if (!ping.m_is_reply) {
+      Send(id, Ping{true});
+    }
+  }
+
+  void Handle(LinkId id, LinkInfo& link, CallStart& start);
+
+  void Handle(LinkId id, LinkInfo& link, AnswerStart& answer) {
+    const auto found = link.m_calls.find(answer.m_call);
+    if (link.m_inbound) {
+      Reject(id, link, "answer on an accepted link");
+      return;
+    }
+    if (found == link.m_calls.end()) {
+      return;
+    }
+    CallState& state = *found->second;
+    state.m_answer_body.Push(std::move(answer.m_body.m_data));
+    answer.m_body.m_data.clear();
+    if (answer.m_complete) {
+      state.m_answer_body.Finish();
+    }
+    state.m_answer = std::move(answer);
+    state.m_changed.Notify();
+    if (state.m_answer->m_complete) {
+      Forget(link, state.m_answer->m_call);
+    }
+  }
+
+  void Handle(LinkId, LinkInfo& link, BodyChunk& chunk) {
+    const auto found = link.m_calls.find(chunk.m_call);
+    if (found == link.m_calls.end()) {
+      return;
+    }
+    BodyPipe& body = link.m_inbound ? found->second->m_request_body
+                                    : found->second->m_answer_body;
+    body.Push(std::move(chunk.m_body.m_data));
+    if (chunk.m_complete) {
+      body.Finish();
+      if (!link.m_inbound) {
+        Forget(link, chunk.m_call);
+      }
+    }
+  }
+
+  void Handle(LinkId, LinkInfo& link, BodyCredit& credit) {
+    const auto found = link.m_calls.find(credit.m_call);
+    if (found == link.m_calls.end()) {
+      return;
+    }
+    CallState& state = *found->second;
+    if (link.m_inbound) {
+      state.m_answer_credit.Add(credit.m_bytes);
+    } else {
+      state.GrantRequestBody(credit.m_bytes);
+    }
+  }
+
+  void Handle(LinkId, LinkInfo& link, CallAbort& abort) {
+    const auto found = link.m_calls.find(abort.m_call);
+    if (found == link.m_calls.end()) {
+      return;
+    }
+    const std::shared_ptr<CallState> state = found->second;
+    Forget(link, abort.m_call);
+    if (link.m_inbound) {
+      state->Cancel();
+    } else {
+      state->Lose();
+    }
+  }
+
+  void Remember(LinkInfo& link, CallId call, std::shared_ptr<CallState> state) {
+    link.m_calls.emplace(call, std::move(state));
+    ++m_calls;
+  }
+
+  void Forget(LinkInfo& link, CallId call) {
+    m_calls -= link.m_calls.erase(call);
+  }
+
+  void ForgetOn(LinkId id, CallId call) {
+    const auto found = m_links.find(id);
+    if (found != m_links.end()) {
+      Forget(found->second, call);
+    }
+  }
+
+  // A connection can go silent without an end that anybody tells.
+  void PingSilent() {
+    const Millis now = SteadyNow();
+    // A process that stood still has to read first what has come meanwhile.
+    const bool stood_still = now - m_last_check > internal::kPingCheck * 4;
+    m_last_check = now;
+    std::vector<LinkId> dead;
+    for (auto& [id, link] : m_links) {
+      if (!link.m_greeted || link.m_inbound) {
+        continue;
+      }
+      if (stood_still) {
+        link.m_heard = now;
+        link.m_pinged = Millis(0);
+      }
+      const Millis limit = link.m_calls.empty()
+                               ? internal::kPingAfter
+                               : internal::kPingWithCallsAfter;
+      if (link.m_pinged != Millis(0)) {
+        if (now - link.m_pinged > internal::kPingTimeout) {
+          dead.push_back(id);
+        }
+      } else if (now - link.m_heard > limit) {
+        link.m_pinged = now;
+        Send(id, Ping{});
+      }
+    }
+    for (const LinkId id : dead) {
+      LogLine(LogLevel::kWarning, "peer_silent")
+          .With("peer", m_links[id].m_peer.value())
+          .With("calls", static_cast<std::uint64_t>(m_links[id].m_calls.size()));
+      m_hub.Close(id);
+      Closed(id);
+    }
+  }
+
+  // Closes links whose peer accepts connections but never greets.
+  void CloseSilent() {
+    std::vector<LinkId> silent;
+    const Millis now = SteadyNow();
+    for (const auto& [id, link] : m_links) {
+      if (!link.m_greeted && now - link.m_opened > internal::kGreetingTimeout) {
+        silent.push_back(id);
+      }
+    }
+    for (const LinkId id : silent) {
+      m_hub.Close(id);
+    }
+  }
+
+  FiberLoop& m_loop;
+  Hello m_hello;
+  std::size_t m_max_calls;
+  LinkEvents m_events;
+  std::unordered_map<LinkId, LinkInfo> m_links;
+  std::map<Endpoint, LinkId> m_by_endpoint;
+  std::map<Endpoint, std::deque<Message>> m_outboxes;
+  FiberEvent m_greeted;
+  LinkCounters m_counters;
+  std::size_t m_calls = 0;
+  Millis m_last_check;
+  PeerHub m_hub;
+};
+
+}  // namespace hemlockpoint
+
+#endif  // HEMLOCKPOINT_TRANSPORT_LINK_STATE_H_
--- a/test/hemlockpoint/dispatch/route_limit_test.cc
+++ b/test/hemlockpoint/dispatch/rank_limit_test.cc
@@ -1,4 +1,4 @@
-#include "hemlockpoint/dispatch/route_limit.h"
+#include "hemlockpoint/dispatch/rank_limit.h"
 
 #include <gtest/gtest.h>
 
@@ -8,32 +8,32 @@
 constexpr double kSlots = 40;
 
 // Ends `count` calls, of which a share fails.
-void End(RouteLimit& limit, std::uint64_t rank, int count, double failing) {
+void End(RankLimit& limit, std::uint64_t rank, int count, double failing) {
   for (int i = 0; i < count; ++i) {
     const bool failed = i % 10 < failing * 10;
-    RecordRouteEnd(limit, rank, failed, kSlots, Millis(i));
+    RecordRankEnd(limit, rank, failed, kSlots, Millis(i));
   }
 }
 
-TEST(RouteLimit, FallsWithinTwentyFailedRuns) {
-  RouteLimit limit;
+TEST(RankLimit, FallsWithinTwentyFailedRuns) {
+  RankLimit limit;
   limit.m_running = 20;
   End(limit, 2, 20, 1.0);
   EXPECT_LE(limit.m_limit, 10);
-  EXPECT_FALSE(HasRouteRoom(limit, kSlots));
+  EXPECT_FALSE(HasRankRoom(limit, kSlots));
 }
 
-TEST(RouteLimit, KeepsEnoughRunningToNoticeTheEndOfAnOverload) {
-  RouteLimit limit;
+TEST(RankLimit, KeepsEnoughRunningToNoticeTheEndOfAnOverload) {
+  RankLimit limit;
   limit.m_running = 2;
   End(limit, 2, 1000, 1.0);
-  EXPECT_EQ(limit.m_limit, kLeastRouteLimit);
+  EXPECT_EQ(limit.m_limit, kLeastRankLimit);
   limit.m_running = 0;
-  EXPECT_TRUE(HasRouteRoom(limit, kSlots));
+  EXPECT_TRUE(HasRankRoom(limit, kSlots));
 }
 
-TEST(RouteLimit, GrowsAgainWhileItIsUsed) {
-  RouteLimit limit;
+TEST(RankLimit, GrowsAgainWhileItIsUsed) {
+  RankLimit limit;
   limit.m_running = 2;
   End(limit, 2, 100, 1.0);
   for (int i = 0; i < 10; ++i) {
@@ -43,9 +43,9 @@
   EXPECT_GE(limit.m_limit, 10);
 }
 
-TEST(RouteLimit, LessImportantWorkGivesWayFirst) {
-  RouteLimit orders;
-  RouteLimit lookups;
+TEST(RankLimit, LessImportantWorkGivesWayFirst) {
+  RankLimit orders;
+  RankLimit lookups;
   orders.m_running = lookups.m_running = 20;
   End(orders, 0, 100, 0.3);
   End(lookups, 2, 100, 0.3);
@@ -53,11 +53,11 @@
   EXPECT_LT(lookups.m_limit, kSlots / 2);
 }
 
-TEST(RouteLimit, IsNotMovedByTheWorksOwnFailures) {
-  RouteLimit limit;
+TEST(RankLimit, IsNotMovedByTheWorksOwnFailures) {
+  RankLimit limit;
   limit.m_running = 20;
   for (int i = 0; i < 500; ++i) {
-    RecordRouteEnd(limit, 2, i % 50 == 0, kSlots, Millis(i));
+    RecordRankEnd(limit, 2, i % 50 == 0, kSlots, Millis(i));
   }
   EXPECT_EQ(limit.m_limit, kSlots);
 }
