--- a/src/hemlockpoint/control/control_service.cc
+++ b/src/hemlockpoint/control/control_service.cc
@@ -82,11 +82,9 @@
                },
                [this] { return EncodeState(m_state); }}),
       m_documents(m_group, m_state, std::move(reader)),
-      m_keeper(settings,
-               loop,
-               links,
-               m_group,
-               [this](const Endpoint& peer) { return QueryInstance(peer); }) {}
+      m_keeper(settings, loop, links, m_group, [this](const Endpoint& peer) {
+        return QueryInstance(peer);
+      }) {}
 
 std::optional<std::string> ControlService::Start() {
   if (auto error = m_group.Start()) {
@@ -170,9 +168,9 @@
   InstanceQuery reply;
   reply.m_is_reply = true;
   reply.m_instance = m_group.raft().m_instance;
-  reply.m_admin = ToText(m_settings.m_mode == ServingMode::kRoutes
-                             ? m_settings.m_outside
-                             : m_settings.m_admin);
+  reply.m_admin =
+      ToText(m_settings.m_mode == ServingMode::kRoutes ? m_settings.m_outside
+                                                       : m_settings.m_admin);
   reply.m_group_id = m_group.raft().m_config.m_config.m_group_id;
   reply.m_node = m_settings.m_node;
   m_links.Send(link, reply);
--- a/src/hemlockpoint/control/group_keeper.cc
+++ b/src/hemlockpoint/control/group_keeper.cc
@@ -115,7 +115,8 @@
     if (other_group) {
       // The group was formed in an earlier life of this host, whose data is
       // gone; the group's leader will admit this host again.
-      LogLine(LogLevel::kInfo, "group_found");
+      LogLine(LogLevel::kInfo, "group_found")
+          .With("peer", ToText(m_settings.m_peer));
       return;
     }
     const bool all = config.m_members.size() == m_settings.m_seeds.size();
@@ -125,8 +126,7 @@
     if (all || (majority && late)) {
       LogLine(LogLevel::kInfo, "group_formed")
           .With("group_id", config.m_group_id)
-          .With("members",
-                static_cast<std::uint64_t>(config.m_members.size()));
+          .With("members", static_cast<std::uint64_t>(config.m_members.size()));
       m_group.Init(config);
       return;
     }
--- a/src/hemlockpoint/control/group_keeper.h
+++ b/src/hemlockpoint/control/group_keeper.h
@@ -19,12 +19,12 @@
 class GroupKeeper {
  public:
   /// @param query Asks a host for its instance; used on a fiber.
-  GroupKeeper(const Settings& settings,
-              FiberLoop& loop,
-              LinkLayer& links,
-              GroupDriver& group,
-              std::function<std::optional<InstanceQuery>(const Endpoint&)>
-                  query);
+  GroupKeeper(
+      const Settings& settings,
+      FiberLoop& loop,
+      LinkLayer& links,
+      GroupDriver& group,
+      std::function<std::optional<InstanceQuery>(const Endpoint&)> query);
 
   /// @brief Starts the periodic work.
   void Start();
--- a/src/hemlockpoint/control/group_plan.cc
+++ b/src/hemlockpoint/control/group_plan.cc
@@ -49,9 +49,8 @@
                          const HeardHosts& heard,
                          Millis now) {
   for (const auto& [instance, host] : heard) {
-    const bool other_group =
-        !host.m_beat.m_group_id.empty() &&
-        host.m_beat.m_group_id != config.m_group_id;
+    const bool other_group = !host.m_beat.m_group_id.empty() &&
+                             host.m_beat.m_group_id != config.m_group_id;
     if (FindMember(config, instance) == nullptr && !other_group &&
         now - host.m_heard < kHostFreshFor) {
       return &host.m_beat;
@@ -113,8 +112,8 @@
   }
   if (living < voters) {
     if (const HostBeat* host = NextHost(config, heard, now)) {
-      return Add(config, *host, lost_voter != nullptr ? "member lost"
-                                                      : "too few members");
+      return Add(config, *host,
+                 lost_voter != nullptr ? "member lost" : "too few members");
     }
   }
   return std::nullopt;
--- a/src/hemlockpoint/dispatch/rank_limit.cc
+++ b/src/hemlockpoint/dispatch/rank_limit.cc
@@ -13,14 +13,16 @@
 constexpr double kFewestEnds = 4;
 // Factor of a cut when every call has failed; a smaller share cuts less.
 constexpr double kDeepestCut = 0.5;
-constexpr double kRaise = 1;
+constexpr double kRaise = 2;
+// A tenth of a second's cut: a limit halves within two seconds.
+constexpr double kYield = 0.96;
 
 }  // namespace
 
 double ToleratedFailures(std::uint64_t rank) {
   constexpr double kMostImportant = 0.5;
   constexpr double kImportant = 0.3;
-  constexpr double kOther = 0.15;
+  constexpr double kOther = 0.25;
   if (rank == 0) {
     return kMostImportant;
   }
@@ -28,10 +30,10 @@
 }
 
 void RecordRankEnd(RankLimit& limit,
-                    std::uint64_t rank,
-                    bool failed,
-                    double slots,
-                    Millis now) {
+                   std::uint64_t rank,
+                   bool failed,
+                   double slots,
+                   Millis now) {
   if (limit.m_limit <= 0) {
     limit.m_limit = slots;
     limit.m_changed = now;
@@ -59,6 +61,18 @@
   limit.m_changed = now;
 }
 
+void YieldToCongestion(RankLimit& limit,
+                       std::uint64_t rank,
+                       double level,
+                       double slots) {
+  if (rank < kFirstYieldingRank || level < kCongestedLevel) {
+    return;
+  }
+  const double bound = limit.m_limit > 0 ? limit.m_limit : slots;
+  const double used = std::min(bound, static_cast<double>(limit.m_running) + 1);
+  limit.m_limit = std::max(kLeastRankLimit, used * kYield);
+}
+
 bool HasRankRoom(const RankLimit& limit, double slots) {
   const double bound = limit.m_limit > 0 ? limit.m_limit : slots;
   return static_cast<double>(limit.m_running) + 1 <= std::max(1.0, bound);
--- a/src/hemlockpoint/dispatch/rank_limit.h
+++ b/src/hemlockpoint/dispatch/rank_limit.h
@@ -21,7 +21,7 @@
 
 /// @brief Requests of a rank that may always run, so that the end of an
 /// overload is noticed.
-inline constexpr double kLeastRankLimit = 2;
+inline constexpr double kLeastRankLimit = 4;
 
 /// @brief Share of failures that is taken for the work's own, by importance:
 /// less important work gives way first.
@@ -32,10 +32,27 @@
 /// lowers it by a factor.
 /// @param slots The target's slots, which no limit exceeds.
 void RecordRankEnd(RankLimit& limit,
-                    std::uint64_t rank,
-                    bool failed,
-                    double slots,
-                    Millis now);
+                   std::uint64_t rank,
+                   bool failed,
+                   double slots,
+                   Millis now);
+
+/// @brief How long calls wait, over how long they are worked on: from here on
+/// waiting is taken for an overload.
+inline constexpr double kCongestedLevel = 1.2;
+/// @brief Ranks from here on give way to congestion of the services that their
+/// runs call.
+inline constexpr std::uint64_t kFirstYieldingRank = 2;
+/// @brief Time between two looks at the congestion.
+inline constexpr Millis kCongestionPeriod(100);
+
+/// @brief Lowers the limit of requests whose nested calls meet a congested
+/// service, before any of them has failed.
+/// @param level Congestion that nested calls have met of late.
+void YieldToCongestion(RankLimit& limit,
+                       std::uint64_t rank,
+                       double level,
+                       double slots);
 
 /// @return Whether another request of the rank may run.
 [[nodiscard]] bool HasRankRoom(const RankLimit& limit, double slots);
--- a/src/hemlockpoint/dispatch/repeat_window.cc
+++ b/src/hemlockpoint/dispatch/repeat_window.cc
@@ -13,8 +13,9 @@
 }
 
 RepeatWindow::Bucket& Current(RepeatWindow& window, std::int64_t slice) {
-  auto& bucket = window.m_buckets[static_cast<std::size_t>(slice) %
-                                  RepeatWindow::kBuckets];
+  auto& bucket =
+      window
+          .m_buckets[static_cast<std::size_t>(slice) % RepeatWindow::kBuckets];
   if (bucket.m_slice != slice) {
     bucket = {};
     bucket.m_slice = slice;
@@ -28,6 +29,12 @@
   ++Current(window, SliceOf(share, now)).m_requests;
 }
 
+void CountInheritedRepeat(RepeatWindow& window,
+                          const RepeatShare& share,
+                          Millis now) {
+  ++Current(window, SliceOf(share, now)).m_repeats;
+}
+
 bool TakeRepeat(RepeatWindow& window, const RepeatShare& share, Millis now) {
   const std::int64_t slice = SliceOf(share, now);
   constexpr auto kBuckets = static_cast<std::int64_t>(RepeatWindow::kBuckets);
--- a/src/hemlockpoint/dispatch/repeat_window.h
+++ b/src/hemlockpoint/dispatch/repeat_window.h
@@ -32,6 +32,12 @@
 /// @brief Counts the first sending of a request.
 void CountRequest(RepeatWindow& window, const RepeatShare& share, Millis now);
 
+/// @brief Counts a call made by a run that was a repeat itself. It can't be
+/// withheld, but leaves less room for others.
+void CountInheritedRepeat(RepeatWindow& window,
+                          const RepeatShare& share,
+                          Millis now);
+
 /// @brief Charges a repeat if the node's part allows it.
 /// @return Whether the request may be sent once more.
 [[nodiscard]] bool TakeRepeat(RepeatWindow& window,
--- a/src/hemlockpoint/dispatch/slot_queue.cc
+++ b/src/hemlockpoint/dispatch/slot_queue.cc
@@ -18,6 +18,8 @@
 constexpr double kRootHopelessShare = 1.0;
 // Room for the spread of service times in the promise of an admission.
 constexpr double kAdmissionMargin = 1.25;
+// The congestion follows a change within some thirty calls.
+constexpr double kCongestionGain = 0.03;
 // Part of the slots that is used at most.
 constexpr double kUsedSlots = 0.95;
 
@@ -42,8 +44,8 @@
 
 // Slots that are used: a target slows down when the last ones are taken.
 double SlotsOf(const SlotQueue& queue) {
-  return std::max(
-      1.0, std::floor(static_cast<double>(queue.m_slots) * kUsedSlots));
+  return std::max(1.0,
+                  std::floor(static_cast<double>(queue.m_slots) * kUsedSlots));
 }
 
 bool HasFreeSlot(const SlotQueue& queue) {
@@ -71,11 +73,11 @@
       HasRankRoom(limit->second, SlotsOf(queue))) {
     return Millis(0);
   }
-  const auto ahead = std::count_if(
-      queue.m_waiting.begin(), queue.m_waiting.end(),
-      [&](const WaitingCall& other) {
-        return !other.m_nested && other.m_rank == call.m_rank;
-      });
+  const auto ahead =
+      std::count_if(queue.m_waiting.begin(), queue.m_waiting.end(),
+                    [&](const WaitingCall& other) {
+                      return !other.m_nested && other.m_rank == call.m_rank;
+                    });
   const Millis usual = ExpectedServiceTime(queue.m_times, call.m_route);
   return usual * ((static_cast<double>(ahead) + 1) /
                   std::max(1.0, limit->second.m_limit));
@@ -110,8 +112,8 @@
   const bool patient = call.m_nested || call.m_rank == 0;
   const Millis limit =
       patient ? call.m_deadline : Min(call.m_deadline, call.m_objective);
-  const bool too_late = call.m_nested ? now + wait > call.m_deadline
-                                      : finish > limit;
+  const bool too_late =
+      call.m_nested ? now + wait > call.m_deadline : finish > limit;
   if (full || (wait > Millis(0) && too_late)) {
     offer.m_refusal = RefuseBySignal(
         full ? Reason::kQueueFull : Reason::kDeadlineUnreachable,
@@ -143,6 +145,10 @@
   const WaitingCall call = *next;
   queue.m_waiting.erase(next);
   ++queue.m_running;
+  if (call.m_nested) {
+    const double wait = (now - call.m_arrival) / MeanTime(queue);
+    queue.m_congestion += (wait - queue.m_congestion) * kCongestionGain;
+  }
   if (!call.m_nested) {
     ++queue.m_running_roots;
     ++queue.m_limits[call.m_rank].m_running;
--- a/src/hemlockpoint/dispatch/slot_queue.h
+++ b/src/hemlockpoint/dispatch/slot_queue.h
@@ -38,6 +38,9 @@
   std::size_t m_running_roots = 0;
   std::vector<WaitingCall> m_waiting;
   ServiceTimes m_times;
+  /// Moving average of nested calls' wait for a slot, over the mean time in
+  /// it.
+  double m_congestion = 0;
   /// Limits of requests by rank. Routes of one rank share a limit: they are
   /// many, and each alone ends too seldom to tell anything in time.
   std::unordered_map<std::uint64_t, RankLimit> m_limits;
--- a/src/hemlockpoint/dispatch/target_choice.cc
+++ b/src/hemlockpoint/dispatch/target_choice.cc
@@ -38,10 +38,9 @@
   const double chance =
       ChanceInTime(expected, terms.m_objective_left) * (1 - unwell);
   const double crossing =
-      peer.m_same_domain
-          ? 0
-          : std::min(kMaxCrossingCost,
-                     terms.m_bytes / kKib * terms.m_cost_per_kib);
+      peer.m_same_domain ? 0
+                         : std::min(kMaxCrossingCost, terms.m_bytes / kKib *
+                                                          terms.m_cost_per_kib);
   const Millis scale = Max(terms.m_objective_left, Millis(100));
   return chance - crossing - terms.m_time_weight * (expected / scale);
 }
@@ -51,8 +50,8 @@
 Millis ExpectedLatency(const TargetPeer& peer, Millis typical, Millis now) {
   const Millis service = typical * peer.m_slowness;
   if (now - peer.m_load_time > kReportFreshFor || peer.m_load.m_limit <= 0) {
-    const double slots =
-        std::max<double>(1, static_cast<double>(peer.m_member.m_target.m_slots));
+    const double slots = std::max<double>(
+        1, static_cast<double>(peer.m_member.m_target.m_slots));
     return service *
            std::max(1.0, static_cast<double>(peer.m_outstanding) / slots);
   }
@@ -71,8 +70,8 @@
   std::vector<const TargetPeer*> candidates;
   for (const bool avoid : {true, false}) {
     for (const auto& [node, peer] : peers) {
-      const bool tried = std::find(excluded.begin(), excluded.end(), node) !=
-                         excluded.end();
+      const bool tried =
+          std::find(excluded.begin(), excluded.end(), node) != excluded.end();
       const bool usable = !tried && !peer.m_member.m_target.m_leaving;
       if (usable && !(avoid && now < peer.m_avoid_until)) {
         candidates.push_back(&peer);
@@ -88,12 +87,12 @@
   // Starting anywhere spreads calls among equals.
   const std::size_t start =
       static_cast<std::size_t>(random * static_cast<double>(candidates.size()));
-  const TargetPeer* best = nullptr;
-  double best_utility = 0;
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
+  const TargetPeer* best = candidates[start];
+  double best_utility = Utility(*best, terms, now);
+  for (std::size_t i = 1; i < candidates.size(); ++i) {
     const TargetPeer* peer = candidates[(start + i) % candidates.size()];
     const double utility = Utility(*peer, terms, now);
-    if (best == nullptr || utility > best_utility) {
+    if (utility > best_utility) {
       best = peer;
       best_utility = utility;
     }
--- a/src/hemlockpoint/dispatch/target_choice.h
+++ b/src/hemlockpoint/dispatch/target_choice.h
@@ -70,9 +70,7 @@
     Millis now);
 
 /// @brief Takes in a target's answer or refusal.
-void RecordTargetAnswer(TargetPeer& peer,
-                        const LoadReport& load,
-                        Millis now);
+void RecordTargetAnswer(TargetPeer& peer, const LoadReport& load, Millis now);
 
 /// @brief Takes in how a call has ended.
 /// @param typical As in ChoiceTerms.
--- a/src/hemlockpoint/http/connection.h
+++ b/src/hemlockpoint/http/connection.h
@@ -41,7 +41,6 @@
   }
 
   boost::asio::ip::tcp::socket m_socket;
-  std::string m_peer_address;
   boost::beast::flat_buffer m_buffer;
   /// When the connection is closed if the current head is still incomplete.
   Millis m_head_deadline{1e300};
@@ -75,9 +74,6 @@
   void Finish();
 
   [[nodiscard]] const HttpRequestHead& head() const override { return m_head; }
-  [[nodiscard]] const std::string& peer_address() const override {
-    return m_connection->m_peer_address;
-  }
   [[nodiscard]] std::optional<std::string> ReadBody() override;
   [[nodiscard]] bool body_too_large() const override {
     return m_body_too_large;
@@ -106,8 +102,8 @@
   boost::beast::http::request_parser<boost::beast::http::buffer_body> m_parser;
   HttpRequestHead m_head;
   boost::beast::http::response<boost::beast::http::buffer_body> m_response;
-  std::optional<boost::beast::http::response_serializer<
-      boost::beast::http::buffer_body>>
+  std::optional<
+      boost::beast::http::response_serializer<boost::beast::http::buffer_body>>
       m_serializer;
   Ticket m_ticket = 0;
   bool m_keep_alive = false;
--- a/src/hemlockpoint/http/server.cc
+++ b/src/hemlockpoint/http/server.cc
@@ -90,8 +90,6 @@
     connection->m_socket.set_option(tcp::no_delay(true), ignored);
     connection->m_socket.non_blocking(true, ignored);
     connection->m_idle_since = SteadyNow();
-    const auto peer = connection->m_socket.remote_endpoint(ignored);
-    connection->m_peer_address = peer.address().to_string(ignored);
     bool open = true;
     while (open && !connection->m_closing) {
       open = ReadOne(connection);
@@ -108,8 +106,7 @@
   // Reads a request and starts serving it. Returns whether another can follow.
   bool ReadOne(const std::shared_ptr<HttpConnection>& connection) {
     connection->m_changed.Wait([&] {
-      return connection->m_closing ||
-             connection->unanswered() < kMaxPipelined;
+      return connection->m_closing || connection->unanswered() < kMaxPipelined;
     });
     if (connection->m_buffer.size() == 0 && !AwaitFirstByte(*connection)) {
       return false;
@@ -127,9 +124,8 @@
       self->m_handler(*exchange);
       exchange->Finish();
     });
-    connection->m_changed.Wait([&] {
-      return connection->m_closing || exchange->is_input_read();
-    });
+    connection->m_changed.Wait(
+        [&] { return connection->m_closing || exchange->is_input_read(); });
     return exchange->keeps_alive();
   }
 
@@ -164,9 +160,8 @@
       connection.OnCallerGone();
       return;
     }
-    connection.m_changed.Wait([&] {
-      return connection.m_closing || connection.unanswered() == 0;
-    });
+    connection.m_changed.Wait(
+        [&] { return connection.m_closing || connection.unanswered() == 0; });
     http::response<http::string_body> response(
         static_cast<http::status>(*status), kHttp11);
     response.set(http::field::content_type, "application/json");
@@ -203,11 +198,10 @@
   void CloseOverdue() {
     const Millis now = SteadyNow();
     for (const auto& connection : m_connections) {
-      const bool idle = connection->unanswered() == 0 &&
-                        connection->m_buffer.size() == 0 &&
-                        m_limits.m_idle_timeout > Millis(0) &&
-                        now - connection->m_idle_since >
-                            m_limits.m_idle_timeout;
+      const bool idle =
+          connection->unanswered() == 0 && connection->m_buffer.size() == 0 &&
+          m_limits.m_idle_timeout > Millis(0) &&
+          now - connection->m_idle_since > m_limits.m_idle_timeout;
       if (idle || connection->m_head_deadline < now) {
         connection->Close();
       }
@@ -226,8 +220,7 @@
     ErrorCode ignored;
     m_acceptor.close(ignored);
     for (const auto& connection : m_connections) {
-      if (connection->unanswered() == 0 &&
-          connection->m_buffer.size() == 0) {
+      if (connection->unanswered() == 0 && connection->m_buffer.size() == 0) {
         connection->Close();
       }
     }
--- a/src/hemlockpoint/http/server.h
+++ b/src/hemlockpoint/http/server.h
@@ -32,9 +32,6 @@
 
   [[nodiscard]] virtual const HttpRequestHead& head() const = 0;
 
-  /// @return The numeric address from which the request came.
-  [[nodiscard]] virtual const std::string& peer_address() const = 0;
-
   /// @brief Reads more of the request's body.
   /// @return The next bytes; empty at the end; nothing when the caller's
   /// connection or its framing failed, or the body is over the bound.
--- a/src/hemlockpoint/log/log.cc
+++ b/src/hemlockpoint/log/log.cc
@@ -1,7 +1,6 @@
 #include "hemlockpoint/log/log.h"
 
 #include <array>
-#include <cmath>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
@@ -11,6 +10,7 @@
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared_object.hpp>
+#include <cmath>
 #include <cstdio>
 #include <iostream>
 
@@ -95,10 +95,9 @@
 void StartLog(LogLevel level, LogStream stream) {
   g_minimum = level;
   auto backend = boost::make_shared<sinks::text_ostream_backend>();
-  backend->add_stream(
-      boost::shared_ptr<std::ostream>(
-          stream == LogStream::kStandardOutput ? &std::cout : &std::cerr,
-          boost::null_deleter()));
+  backend->add_stream(boost::shared_ptr<std::ostream>(
+      stream == LogStream::kStandardOutput ? &std::cout : &std::cerr,
+      boost::null_deleter()));
   backend->auto_flush(true);
   g_sink = boost::make_shared<Sink>(backend);
   boost::log::core::get()->add_sink(g_sink);
--- a/src/hemlockpoint/relay/core.cc
+++ b/src/hemlockpoint/relay/core.cc
@@ -14,8 +14,7 @@
   if (member.m_target.m_service.empty() || !endpoint) {
     return;
   }
-  TargetPeer& peer =
-      core.m_services[member.m_target.m_service][member.m_node];
+  TargetPeer& peer = core.m_services[member.m_target.m_service][member.m_node];
   if (peer.m_member.m_incarnation != member.m_incarnation) {
     const std::uint64_t outstanding = peer.m_outstanding;
     peer = TargetPeer();
@@ -43,14 +42,28 @@
       m_dialect(dialect),
       m_loop(loop),
       m_incarnation(static_cast<std::uint64_t>(UnixMillis())),
-      m_random(DigestOf({settings.m_node.value(),
-                         std::to_string(m_incarnation)})
-                   .value()) {}
+      m_random(
+          DigestOf({settings.m_node.value(), std::to_string(m_incarnation)})
+              .value()) {}
 
 double RelayCore::Random() {
   return static_cast<double>(m_random() >> 11) * 0x1.0p-53;
 }
 
+void RecordNestedCongestion(RelayCore& core, double level, Millis now) {
+  constexpr double kGain = 0.1;
+  const double old = NestedCongestion(core, now);
+  core.m_nested_congestion = old + (level - old) * kGain;
+  core.m_nested_congestion_time = now;
+}
+
+double NestedCongestion(const RelayCore& core, Millis now) {
+  constexpr Millis kValidFor(1000);
+  return now - core.m_nested_congestion_time > kValidFor
+             ? 0
+             : core.m_nested_congestion;
+}
+
 std::vector<std::string> ApplyMembers(RelayCore& core,
                                       const DirectoryDelta& delta) {
   std::vector<std::string> stale;
--- a/src/hemlockpoint/relay/core.h
+++ b/src/hemlockpoint/relay/core.h
@@ -10,7 +10,6 @@
 #include "hemlockpoint/dispatch/repeat_window.h"
 #include "hemlockpoint/dispatch/service_times.h"
 #include "hemlockpoint/dispatch/target_choice.h"
-#include "hemlockpoint/quarantine/quarantine.h"
 #include "hemlockpoint/relay/dialect.h"
 #include "hemlockpoint/relay/metrics.h"
 #include "hemlockpoint/routes/route_table.h"
@@ -40,7 +39,9 @@
   std::map<ServiceName, RepeatWindow> m_repeats;
   /// Times until answers by route, over all targets.
   ServiceTimes m_answer_times;
-  QuarantineTable m_quarantine;
+  /// Congestion that the target's own calls have met, a moving average.
+  double m_nested_congestion = 0;
+  Millis m_nested_congestion_time{-1e12};
   RelayMetrics m_metrics;
   /// Set before the parts run; outlives them.
   LinkLayer* m_links = nullptr;
@@ -50,6 +51,12 @@
   bool m_leaving = false;
 };
 
+/// @brief Takes in the congestion that an answer to a nested call tells of.
+void RecordNestedCongestion(RelayCore& core, double level, Millis now);
+
+/// @return The congestion that nested calls have met in the last second.
+[[nodiscard]] double NestedCongestion(const RelayCore& core, Millis now);
+
 /// @brief Applies a change of the directory to what a node knows.
 /// @return Peers whose links are stale.
 std::vector<std::string> ApplyMembers(RelayCore& core,
--- a/src/hemlockpoint/relay/dialect.h
+++ b/src/hemlockpoint/relay/dialect.h
@@ -16,6 +16,9 @@
 /// @brief What a caller says of a request beside its method and path.
 struct RequestTerms {
   RequestId m_id;
+  /// The request for which a target makes this call; empty for a request of a
+  /// caller, or when the call doesn't say.
+  RequestId m_parent;
   std::string m_host;
   /// How long the caller will wait; nothing when it doesn't say.
   std::optional<Millis> m_time_left;
--- a/src/hemlockpoint/relay/gate_dispatch.cc
+++ b/src/hemlockpoint/relay/gate_dispatch.cc
@@ -25,7 +25,6 @@
 constexpr unsigned kServerErrors = 500;
 // A call whose caller leaves this close to the deadline has timed out.
 constexpr double kTimedOutShare = 0.9;
-constexpr double kCloseShare = 0.85;
 // The share of failures follows a change within some fifty calls.
 constexpr double kPressureGain = 0.02;
 
@@ -55,11 +54,11 @@
   slot_end.m_answered =
       timed_out || (sample && session.m_status < kServerErrors);
   if (session.m_handed_over && (!session.cancelled() || timed_out)) {
-    const bool failed = !sample || session.m_status >= kServerErrors ||
-                        session.cancelled();
-    // Runs that just made it tell of an overload before the first one fails.
-    const bool close = held >= (session.m_deadline - begun) * kCloseShare;
-    slot_end.m_failed = failed || close;
+    const bool failed =
+        !sample || session.m_status >= kServerErrors || session.cancelled();
+    // Only a lack of time tells of an overload; fewer runs don't make a target
+    // fail less that fails by itself.
+    slot_end.m_failed = timed_out;
     m_pressure += ((failed ? 1.0 : 0.0) - m_pressure) * kPressureGain;
   }
   ReleaseSlot(m_queue, session.m_slot, slot_end, now);
@@ -81,9 +80,8 @@
 
 std::optional<Refusal> SlotGate::Exchange(GateSession& session) {
   const CallStart& start = session.m_call.m_start;
-  const Millis longest_idle = start.m_terms.m_idempotent
-                                  ? Millis(1e9)
-                                  : kLongestIdleForUnsafe;
+  const Millis longest_idle =
+      start.m_terms.m_idempotent ? Millis(1e9) : kLongestIdleForUnsafe;
   const std::shared_ptr<HttpClientPool> pool = m_pool;
   auto opened = pool->Open(
       Min(kConnectTimeout, session.m_deadline - SteadyNow()), longest_idle);
@@ -92,7 +90,6 @@
     Refusal refusal =
         RefuseBySignal(Reason::kTargetUnreachable, {opened.reason(), 1, 0});
     refusal.m_retry_after = kDownFor;
-    CheckCrash(session);
     return refusal;
   }
   // The target may have changed, or the caller left, while connecting.
@@ -216,12 +213,7 @@
     return EndedUnknown(Reason::kDeadlinePassed,
                         {"ms_past_deadline", over.value(), 0});
   }
-  CheckCrash(session);
   return EndedUnknown(Reason::kTargetLost, {signal, 1, 0});
 }
 
-// Several calls that break off together, with no new connection possible, are
-// a crash; what ran then is suspected of it.
-void SlotGate::CheckCrash(const GateSession&) {}
-
 }  // namespace hemlockpoint
--- a/src/hemlockpoint/relay/metrics.cc
+++ b/src/hemlockpoint/relay/metrics.cc
@@ -46,13 +46,12 @@
 }
 
 double RecentMean::Next(const LatencyHistogram& histogram) {
-  const std::uint64_t count =
-      std::accumulate(histogram.m_counts.begin(), histogram.m_counts.end(),
-                      std::uint64_t{0});
+  const std::uint64_t count = std::accumulate(
+      histogram.m_counts.begin(), histogram.m_counts.end(), std::uint64_t{0});
   const double mean =
-      count == m_count ? 0
-                       : (histogram.m_sum - m_sum) /
-                             static_cast<double>(count - m_count);
+      count == m_count
+          ? 0
+          : (histogram.m_sum - m_sum) / static_cast<double>(count - m_count);
   m_sum = histogram.m_sum;
   m_count = count;
   return mean;
--- a/src/hemlockpoint/relay/relay_node.cc
+++ b/src/hemlockpoint/relay/relay_node.cc
@@ -87,11 +87,10 @@
         m_http(loop,
                CallerLimitsOf(settings, {}),
                [this](HttpExchange& exchange) { m_entry.Serve(exchange); }),
-        m_outside_http(loop,
-                       OutsideLimits(settings),
-                       [this](HttpExchange& exchange) {
-                         m_outside.Serve(exchange);
-                       }),
+        m_outside_http(
+            loop,
+            OutsideLimits(settings),
+            [this](HttpExchange& exchange) { m_outside.Serve(exchange); }),
         m_ready_http(
             loop,
             OutsideLimits(settings),
@@ -119,8 +118,7 @@
             },
             [this](const ServiceName& service) {
               const auto known = m_core.m_services.find(service);
-              return known != m_core.m_services.end() &&
-                     !known->second.empty();
+              return known != m_core.m_services.end() && !known->second.empty();
             },
             [this](const ServiceName& service) {
               m_core.m_services.erase(service);
@@ -142,10 +140,8 @@
   }
 
   void ServeCall(InboundCall call) {
-    m_loop.Spawn(
-        [this, shared = std::make_shared<InboundCall>(std::move(call))] {
-          m_gate.Serve(std::move(*shared));
-        });
+    m_loop.Spawn([this, shared = std::make_shared<InboundCall>(std::move(
+                            call))] { m_gate.Serve(std::move(*shared)); });
   }
 
   // Parts of calls, and what only policy mode knows, never come this way.
@@ -201,8 +197,8 @@
         .With("routes", static_cast<std::uint64_t>(document->m_routes.size()))
         .With("changed", static_cast<std::uint64_t>(push.m_changed.size()));
     m_core.m_table = MakeRouteTable(std::move(*document));
-    m_http.SetLimits(CallerLimitsOf(m_core.m_settings,
-                                    m_core.m_table->m_document.m_bounds));
+    m_http.SetLimits(
+        CallerLimitsOf(m_core.m_settings, m_core.m_table->m_document.m_bounds));
     for (const RouteService& service : m_core.m_table->m_document.m_services) {
       m_membership.ExpectService(service.m_name);
     }
--- a/src/hemlockpoint/relay/route_attempts.cc
+++ b/src/hemlockpoint/relay/route_attempts.cc
@@ -34,9 +34,9 @@
 // A call that ran out of time after this many times its usual time is held
 // against its target.
 constexpr double kOverdueFactor = 2;
-// Part of the repeats allowed to all nodes that a node spends by itself:
-// requests spread unevenly, and a repeat's own calls count as repeats too.
-constexpr double kRepeatRatioPart = 0.25;
+// Part of the repeats allowed to all nodes that a node spends by itself; the
+// rest is for windows that lie unevenly on several nodes.
+constexpr double kRepeatRatioPart = 0.7;
 constexpr double kRepeatSlackPart = 0.3;
 
 }  // namespace
@@ -58,8 +58,8 @@
   }
   const Millis now = SteadyNow();
   ChoiceTerms terms;
-  terms.m_typical = ExpectedServiceTime(m_core.m_answer_times,
-                                        call.m_route->m_name.value());
+  terms.m_typical =
+      ExpectedServiceTime(m_core.m_answer_times, call.m_route->m_name.value());
   terms.m_objective_left = call.m_objective - now;
   terms.m_bytes = static_cast<double>(call.m_body.size()) + kUsualAnswerBytes;
   terms.m_cost_per_kib = kCrossingCostPerKib;
@@ -148,10 +148,9 @@
   const bool idempotent = call.m_route->m_kind == WorkKind::kSafe;
   const bool not_run = refusal.m_execution == Execution::kNotRun;
   const Millis now = SteadyNow();
-  const bool allowed = (idempotent || not_run) &&
-                       refusal.m_reason != Reason::kDeadlinePassed &&
-                       call.m_attempts < call.m_route->m_max_attempts &&
-                       now < call.m_deadline;
+  const bool allowed =
+      (idempotent || not_run) && refusal.m_reason != Reason::kDeadlinePassed &&
+      call.m_attempts < call.m_route->m_max_attempts && now < call.m_deadline;
   if (!allowed) {
     return false;
   }
@@ -169,9 +168,10 @@
   CallTerms& terms = start.m_terms;
   terms.m_root = call.m_terms.m_id;
   terms.m_caller = CallerName(m_core.m_settings.m_target.m_service.value());
-  terms.m_class = call.m_route->m_rank;
+  terms.m_class = call.m_rank;
   terms.m_idempotent = call.m_route->m_kind == WorkKind::kSafe;
   terms.m_depth = call.m_nested ? 1 : 0;
+  terms.m_repeat = call.m_inherited_repeat || call.m_attempts > 0;
   terms.m_route = call.m_route->m_name.value();
   terms.m_time_left = call.m_deadline - now;
   terms.m_objective_left = call.m_objective - now;
@@ -185,11 +185,10 @@
   CallStart start = MakeStart(call);
   if (node == m_core.m_settings.m_node) {
     LocalCall local = MakeLocalCall(std::move(start));
-    m_core.m_loop.Spawn(
-        [this, inbound = std::make_shared<InboundCall>(
-                   std::move(local.m_inbound))] {
-          m_gate.Serve(std::move(*inbound));
-        });
+    m_core.m_loop.Spawn([this, inbound = std::make_shared<InboundCall>(
+                                   std::move(local.m_inbound))] {
+      m_gate.Serve(std::move(*inbound));
+    });
     return std::move(local.m_outbound);
   }
   TargetPeer& peer = m_core.m_services[call.m_service][node];
@@ -229,6 +228,10 @@
   end.m_answer = outbound.AwaitAnswer(call.m_deadline + kLastWord);
   if (end.m_answer && end.m_answer->m_refusal) {
     end.m_refusal = std::move(end.m_answer->m_refusal);
+    if (call.m_nested) {
+      RecordNestedCongestion(m_core, end.m_answer->m_load.m_congestion,
+                             SteadyNow());
+    }
     const auto service = m_core.m_services.find(call.m_service);
     if (service != m_core.m_services.end() &&
         service->second.count(node) != 0) {
@@ -241,10 +244,10 @@
     if (!lost) {
       outbound.m_sender->Cancel("deadline");
     }
-    end.m_refusal = EndedUnknown(
-        lost ? Reason::kNodeLost : Reason::kDeadlinePassed,
-        {lost ? "link_lost" : "ms_left",
-         (call.m_deadline - SteadyNow()).value(), 0});
+    end.m_refusal =
+        EndedUnknown(lost ? Reason::kNodeLost : Reason::kDeadlinePassed,
+                     {lost ? "link_lost" : "ms_left",
+                      (call.m_deadline - SteadyNow()).value(), 0});
   }
   return end;
 }
@@ -265,6 +268,9 @@
   if (end.m_answer) {
     constexpr std::uint64_t kServerError = 500;
     RecordTargetAnswer(peer, end.m_answer->m_load, now);
+    if (call.m_nested) {
+      RecordNestedCongestion(m_core, end.m_answer->m_load.m_congestion, now);
+    }
     const bool failed = end.m_answer->m_status >= kServerError;
     RecordTargetOutcome(peer, now - sent, typical, failed);
     if (!failed) {
--- a/src/hemlockpoint/relay/route_entry.cc
+++ b/src/hemlockpoint/relay/route_entry.cc
@@ -63,8 +63,7 @@
                                            HttpExchange& exchange) {
   const HttpRequestHead& head = exchange.head();
   call.m_terms = m_core.m_dialect.m_read_request(head);
-  call.m_nested = exchange.peer_address() ==
-                  m_core.m_settings.m_target.m_endpoint.m_address;
+  call.m_nested = !call.m_terms.m_parent.empty();
   if (auto refusal = ReadWholeBody(call, exchange)) {
     return refusal;
   }
@@ -86,22 +85,31 @@
   const Route& route = *call.m_route;
   call.m_service = ServiceFor(route, RootFraction(call.m_terms.m_id));
   const CallerLimits& limits = m_core.m_settings.m_limits;
-  Millis left = Min(call.m_terms.m_time_left.value_or(limits.m_default_deadline),
-                    limits.m_longest_deadline);
+  Millis left =
+      Min(call.m_terms.m_time_left.value_or(limits.m_default_deadline),
+          limits.m_longest_deadline);
   if (route.m_timeout > Millis(0)) {
     left = Min(left, route.m_timeout);
   }
   call.m_deadline = call.m_arrival + left;
-  call.m_objective = call.m_arrival + (route.m_objective > Millis(0)
-                                           ? route.m_objective
-                                           : left);
+  call.m_objective = call.m_arrival +
+                     (route.m_objective > Millis(0) ? route.m_objective : left);
   call.m_head.m_service = call.m_service;
   call.m_head.m_method = head.m_method;
   call.m_head.m_path = head.m_path;
   call.m_head.m_headers = head.m_headers;
   call.m_head.m_content_length = call.m_body.size();
-  CountRequest(m_core.m_repeats[call.m_service], ShareOf(call.m_service),
-               call.m_arrival);
+  RepeatWindow& repeats = m_core.m_repeats[call.m_service];
+  const RepeatShare share = ShareOf(call.m_service);
+  CountRequest(repeats, share, call.m_arrival);
+  call.m_rank = route.m_rank;
+  if (const CallTerms* parent = m_gate.FindRunning(call.m_terms.m_parent)) {
+    call.m_rank = parent->m_class;
+    call.m_inherited_repeat = parent->m_repeat;
+  }
+  if (call.m_inherited_repeat) {
+    CountInheritedRepeat(repeats, share, call.m_arrival);
+  }
   return std::nullopt;
 }
 
--- a/src/hemlockpoint/relay/route_entry.h
+++ b/src/hemlockpoint/relay/route_entry.h
@@ -27,8 +27,13 @@
   std::size_t m_attempts = 0;
   bool m_any_unknown = false;
   bool m_caller_gone = false;
-  /// Made by the target beside this node, for a request that it works on.
+  /// Made by a target for a request that it works on.
   bool m_nested = false;
+  /// Importance: the route's own, or that of the request for which a nested
+  /// call is made. 0 is the most important.
+  std::uint64_t m_rank = 0;
+  /// Made by a run that was a repeat itself.
+  bool m_inherited_repeat = false;
   std::optional<OutboundCall> m_outbound;
 };
 
--- a/src/hemlockpoint/relay/slot_gate.cc
+++ b/src/hemlockpoint/relay/slot_gate.cc
@@ -2,6 +2,7 @@
 
 #include "hemlockpoint/relay/slot_gate.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "hemlockpoint/log/log.h"
@@ -40,8 +41,8 @@
   if (effect == ReportEffect::kIgnored || effect == ReportEffect::kRenewed) {
     return;
   }
-  LogLine(LogLevel::kInfo, effect == ReportEffect::kLeaving ? "target_leaving"
-                                                            : "target_known")
+  LogLine(LogLevel::kInfo,
+          effect == ReportEffect::kLeaving ? "target_leaving" : "target_known")
       .With("instance", report.m_instance)
       .With("born", report.m_born)
       .With("sequence", report.m_sequence)
@@ -157,6 +158,18 @@
   Drop(std::exchange(m_queue.m_waiting, {}), Reason::kNodeLeaving);
 }
 
+const CallTerms* SlotGate::FindRunning(const RequestId& request) const {
+  if (request.empty()) {
+    return nullptr;
+  }
+  for (const auto& [id, session] : m_sessions) {
+    if (session->terms().m_root == request) {
+      return &session->terms();
+    }
+  }
+  return nullptr;
+}
+
 TargetSummary SlotGate::Summary() const {
   TargetSummary summary;
   if (m_record.m_current) {
@@ -174,6 +187,8 @@
   load.m_limit = static_cast<double>(m_queue.m_slots);
   load.m_service_time = m_queue.m_times.m_mean;
   load.m_leaving = m_record.m_leaving || m_core.m_leaving;
+  load.m_congestion =
+      std::max(m_queue.m_congestion, NestedCongestion(m_core, SteadyNow()));
   return load;
 }
 
@@ -300,6 +315,14 @@
 
 void SlotGate::Tick() {
   const Millis now = SteadyNow();
+  if (now - m_congestion_checked >= kCongestionPeriod) {
+    m_congestion_checked = now;
+    const double level = NestedCongestion(m_core, now);
+    for (auto& [rank, limit] : m_queue.m_limits) {
+      YieldToCongestion(limit, rank, level,
+                        static_cast<double>(m_queue.m_slots));
+    }
+  }
   Drop(TakeHopeless(m_queue, now), Reason::kDeadlineUnreachable);
   for (const auto& [id, session] : m_sessions) {
     const bool idempotent = session->terms().m_idempotent;
--- a/src/hemlockpoint/relay/slot_gate.h
+++ b/src/hemlockpoint/relay/slot_gate.h
@@ -45,10 +45,9 @@
   void OnChange(std::function<void()> changed) {
     m_on_change = std::move(changed);
   }
-  /// @brief Called with requests that were running when the target crashed.
-  void OnSuspects(std::function<void(const std::vector<Fingerprint>&)> report) {
-    m_on_suspects = std::move(report);
-  }
+
+  /// @return The terms of a request that the target works on, or null.
+  [[nodiscard]] const CallTerms* FindRunning(const RequestId& request) const;
 
   [[nodiscard]] TargetSummary Summary() const;
   [[nodiscard]] std::size_t calls() const { return m_sessions.size(); }
@@ -71,7 +70,6 @@
   LoadReport Load() const;
   void ForgetTarget(const char* reason);
   bool Probe();
-  void CheckCrash(const GateSession& session);
 
   RelayCore& m_core;
   TargetRecord m_record;
@@ -80,8 +78,8 @@
   std::unordered_map<CallId, std::shared_ptr<GateSession>> m_sessions;
   std::uint64_t m_last_call = 0;
   std::function<void()> m_on_change;
-  std::function<void(const std::vector<Fingerprint>&)> m_on_suspects;
   Millis m_down_until{-1e12};
+  Millis m_congestion_checked;
   double m_pressure = 0;
 };
 
--- a/src/hemlockpoint/relay/target_report.cc
+++ b/src/hemlockpoint/relay/target_report.cc
@@ -23,8 +23,8 @@
   }
   const auto& current = record.m_current;
   const bool same = current && current->m_instance == report.m_instance &&
-                    (current->m_born == report.m_born ||
-                     current->m_born == 0 || report.m_born == 0);
+                    (current->m_born == report.m_born || current->m_born == 0 ||
+                     report.m_born == 0);
   if (current && !same && report.m_born != 0 &&
       report.m_born < current->m_born) {
     return ReportEffect::kIgnored;
@@ -45,8 +45,8 @@
 
 bool TakeWithdrawal(TargetRecord& record, const TargetWithdrawal& withdrawal) {
   const auto& current = record.m_current;
-  const bool older = current && withdrawal.m_born != 0 &&
-                     withdrawal.m_born < current->m_born;
+  const bool older =
+      current && withdrawal.m_born != 0 && withdrawal.m_born < current->m_born;
   if (older) {
     return false;
   }
--- a/src/hemlockpoint/routes/route_document.cc
+++ b/src/hemlockpoint/routes/route_document.cc
@@ -1,6 +1,8 @@
 #include "hemlockpoint/routes/route_document.h"
 
 #include <set>
+#include <string>
+#include <utility>
 
 namespace hemlockpoint {
 
@@ -19,8 +21,15 @@
   if (route.m_max_attempts == 0) {
     findings.Add(place, "at least one attempt is needed");
   }
-  if (route.m_services.empty()) {
-    findings.Add(place, "no service is named");
+  if (route.m_timeout <= Millis(0)) {
+    findings.Add(place, "the timeout isn't above 0");
+  }
+  std::uint64_t weights = 0;
+  for (const WeightedService& part : route.m_services) {
+    weights += part.m_weight;
+  }
+  if (weights == 0) {
+    findings.Add(place, "no service has a weight above 0");
   }
   for (const WeightedService& part : route.m_services) {
     if (known.count(part.m_service) == 0) {
@@ -36,8 +45,13 @@
   for (const RouteService& service : document.m_services) {
     known.insert(service.m_name);
   }
+  std::set<std::pair<std::string, std::string>> places;
   for (const Route& route : document.m_routes) {
-    CheckRoute(route, known, {"route " + route.m_name.value(), 0, 0}, findings);
+    const Place place{"route " + route.m_name.value(), 0, 0};
+    CheckRoute(route, known, place, findings);
+    if (!places.emplace(route.m_host, route.m_path_prefix).second) {
+      findings.Add(place, "another route has the same host and prefix");
+    }
   }
 }
 
--- a/src/hemlockpoint/routes/route_document.h
+++ b/src/hemlockpoint/routes/route_document.h
@@ -45,7 +45,7 @@
   std::string m_host;
   std::string m_path_prefix;
   WorkKind m_kind = WorkKind::kUnsafe;
-  /// Longest time until the final answer; 0 for no bound.
+  /// Longest time until the final answer.
   Millis m_timeout;
   /// Latency objective; 0 for none.
   Millis m_objective;
@@ -120,7 +120,7 @@
 
 /// @brief Adds a finding for each fault that keeps a document from being
 /// accepted: an unknown service, no attempts, no host, a prefix that doesn't
-/// begin with a slash, a route without a service.
+/// begin with a slash, no timeout, no weight, two routes for one place.
 void CheckRouteDocument(const RouteDocument& document, Findings& findings);
 
 /// @return "safe", "unsafe" or "upload".
--- a/src/hemlockpoint/routes/route_table.cc
+++ b/src/hemlockpoint/routes/route_table.cc
@@ -47,8 +47,7 @@
       return &table.m_document.m_routes[found->second];
     }
     path.pop_back();
-    path.resize(path.rfind('/') == std::string::npos ? 0
-                                                     : path.rfind('/') + 1);
+    path.resize(path.rfind('/') == std::string::npos ? 0 : path.rfind('/') + 1);
   }
   return nullptr;
 }
--- a/src/hemlockpoint/transport/link_senders.cc
+++ b/src/hemlockpoint/transport/link_senders.cc
@@ -82,7 +82,9 @@
   std::shared_ptr<CallState> m_state;
 };
 
-void LinkLayer::State::Handle(LinkId id, internal::LinkInfo& link, CallStart& start) {
+void LinkLayer::State::Handle(LinkId id,
+                              internal::LinkInfo& link,
+                              CallStart& start) {
   if (!link.m_inbound) {
     Reject(id, link, "call on a link that this process opened");
     return;
--- a/src/hemlockpoint/transport/link_state.h
+++ b/src/hemlockpoint/transport/link_state.h
@@ -286,9 +286,8 @@
         link.m_heard = now;
         link.m_pinged = Millis(0);
       }
-      const Millis limit = link.m_calls.empty()
-                               ? internal::kPingAfter
-                               : internal::kPingWithCallsAfter;
+      const Millis limit = link.m_calls.empty() ? internal::kPingAfter
+                                                : internal::kPingWithCallsAfter;
       if (link.m_pinged != Millis(0)) {
         if (now - link.m_pinged > internal::kPingTimeout) {
           dead.push_back(id);
@@ -301,7 +300,8 @@
     for (const LinkId id : dead) {
       LogLine(LogLevel::kWarning, "peer_silent")
           .With("peer", m_links[id].m_peer.value())
-          .With("calls", static_cast<std::uint64_t>(m_links[id].m_calls.size()));
+          .With("calls",
+                static_cast<std::uint64_t>(m_links[id].m_calls.size()));
       m_hub.Close(id);
       Closed(id);
     }
--- a/src/hemlockpoint/wire/call_messages.h
+++ b/src/hemlockpoint/wire/call_messages.h
@@ -186,6 +186,9 @@
   bool m_leaving = false;
   /// Mean time that the target takes for one call.
   Millis m_service_time;
+  /// Wait for a slot over the time in it, here or at the services below,
+  /// whichever is the longest.
+  double m_congestion = 0;
 
   template <typename Self, typename Visitor>
   static void Visit(Self& self, Visitor& visit) {
@@ -195,6 +198,7 @@
     visit("v", self.m_threshold);
     visit("l", self.m_leaving);
     visit("st", self.m_service_time);
+    visit("c", self.m_congestion);
   }
 };
 
--- a/src/hemlockpointd/main.cc
+++ b/src/hemlockpointd/main.cc
@@ -81,8 +81,8 @@
 
 int RunRelay(const Settings& settings, const std::string& path) {
   hemlockpoint::FiberLoop loop;
-  hemlockpoint::RelayNode node(
-      settings, hemlockpoint::platform::PlatformDialect(), loop);
+  hemlockpoint::RelayNode node(settings,
+                               hemlockpoint::platform::PlatformDialect(), loop);
   if (const auto error = node.Start()) {
     LogLine(LogLevel::kError, "start_failed").With("reason", *error);
     hemlockpoint::StopLog();
@@ -166,13 +166,12 @@
     std::cout << "settings are valid\n";
     return 0;
   }
-  const bool routes =
-      settings->m_mode == hemlockpoint::ServingMode::kRoutes;
+  const bool routes = settings->m_mode == hemlockpoint::ServingMode::kRoutes;
   hemlockpoint::StartLog(settings->m_log_level,
                          routes ? hemlockpoint::LogStream::kStandardOutput
                                 : hemlockpoint::LogStream::kStandardError);
-  const int exit_code = routes ? RunRelay(*settings, options.m_settings_path)
-                               : Run(*settings);
+  const int exit_code =
+      routes ? RunRelay(*settings, options.m_settings_path) : Run(*settings);
   hemlockpoint::StopLog();
   return exit_code;
 }
--- a/test/hemlockpoint/dispatch/rank_limit_test.cc
+++ b/test/hemlockpoint/dispatch/rank_limit_test.cc
@@ -53,6 +53,21 @@
   EXPECT_LT(lookups.m_limit, kSlots / 2);
 }
 
+TEST(RankLimit, YieldsToCongestionBelowBeforeAnyRunHasFailed) {
+  RankLimit lookups;
+  RankLimit orders;
+  lookups.m_running = orders.m_running = 20;
+  for (int i = 0; i < 20; ++i) {
+    YieldToCongestion(lookups, 2, kCongestedLevel, kSlots);
+    YieldToCongestion(orders, 0, kCongestedLevel, kSlots);
+  }
+  EXPECT_LE(lookups.m_limit, 10.5);
+  EXPECT_TRUE(HasRankRoom(orders, kSlots));
+  const double before = lookups.m_limit;
+  YieldToCongestion(lookups, 2, kCongestedLevel / 2, kSlots);
+  EXPECT_EQ(lookups.m_limit, before);
+}
+
 TEST(RankLimit, IsNotMovedByTheWorksOwnFailures) {
   RankLimit limit;
   limit.m_running = 20;
--- a/test/hemlockpoint/dispatch/repeat_window_test.cc
+++ b/test/hemlockpoint/dispatch/repeat_window_test.cc
@@ -28,12 +28,22 @@
     while (!requests.empty() && requests.front() <= now - 10'000) {
       requests.pop_front();
     }
-    RC_ASSERT(!taken ||
-              static_cast<double>(repeats.size()) <=
-              0.1 * static_cast<double>(requests.size()) + 2);
+    RC_ASSERT(!taken || static_cast<double>(repeats.size()) <=
+                            0.1 * static_cast<double>(requests.size()) + 2);
   }
 }
 
+TEST(RepeatWindow, InheritedRepeatsLeaveLessRoom) {
+  const RepeatShare share{0.2, 0, Millis(10'000)};
+  RepeatWindow window;
+  for (int i = 0; i < 10; ++i) {
+    CountRequest(window, share, Millis(i));
+  }
+  CountInheritedRepeat(window, share, Millis(20));
+  EXPECT_TRUE(TakeRepeat(window, share, Millis(30)));
+  EXPECT_FALSE(TakeRepeat(window, share, Millis(40)));
+}
+
 TEST(RepeatWindow, AllowsRepeatsAgainLater) {
   const RepeatShare share{0, 1, Millis(10'000)};
   RepeatWindow window;
--- a/test/hemlockpoint/dispatch/slot_queue_test.cc
+++ b/test/hemlockpoint/dispatch/slot_queue_test.cc
@@ -47,8 +47,7 @@
 TEST(SlotQueue, KeepsAShareForRequestsInAFloodOfNestedCalls) {
   SlotQueue queue = MakeQueue(20, 50);
   for (std::uint64_t i = 0; i < 100; ++i) {
-    ASSERT_TRUE(
-        OfferCall(queue, MakeCall(i, 0, true), Millis(0)).m_accepted);
+    ASSERT_TRUE(OfferCall(queue, MakeCall(i, 0, true), Millis(0)).m_accepted);
   }
   ASSERT_TRUE(OfferCall(queue, MakeCall(200, 2, false), Millis(0)).m_accepted);
   EXPECT_EQ(TakeNextCall(queue, Millis(0))->m_call, CallId(200));
--- a/test/hemlockpoint/routes/route_table_test.cc
+++ b/test/hemlockpoint/routes/route_table_test.cc
@@ -13,6 +13,7 @@
   route.m_name = RouteName(name);
   route.m_host = host;
   route.m_path_prefix = prefix;
+  route.m_timeout = Millis(1000);
   route.m_services = {{ServiceName("stock"), 1}};
   return route;
 }
@@ -63,5 +64,19 @@
   EXPECT_EQ(findings.items().size(), 4U) << findings.ToText();
 }
 
+TEST(RouteDocument, WantsATimeoutAWeightAndAPlaceOfItsOwn) {
+  RouteDocument document;
+  document.m_services = {{ServiceName("stock"), "/h", 1}};
+  const Route good = MakeRoute("good", "h", "/");
+  Route no_timeout = MakeRoute("a", "h", "/a/");
+  no_timeout.m_timeout = Millis(0);
+  Route no_weight = MakeRoute("b", "h", "/b/");
+  no_weight.m_services = {{ServiceName("stock"), 0}};
+  document.m_routes = {good, no_timeout, no_weight, good};
+  Findings findings;
+  CheckRouteDocument(document, findings);
+  EXPECT_EQ(findings.items().size(), 3U) << findings.ToText();
+}
+
 }  // namespace
 }  // namespace hemlockpoint
--- a/test/platform/platform_test.cc
+++ b/test/platform/platform_test.cc
@@ -38,7 +38,8 @@
 }
 
 TEST(Announcements, NamesNoTargetWhenAFieldIsMissingOrOfAnotherType) {
-  for (const char* name : {"service", "address", "slots", "state", "sequence"}) {
+  for (const char* name :
+       {"service", "address", "slots", "state", "sequence"}) {
     auto json = nlohmann::json::parse(kReport);
     json[name] = nlohmann::json::array({1});
     EXPECT_FALSE(ReadReport("i-1", json.dump())) << name;
@@ -91,7 +92,8 @@
 TEST(Documents, RefusesWhatIsInvalid) {
   const std::vector<std::pair<const char*, nlohmann::json>> faults = {
       {"service", "nowhere"}, {"max_attempts", 0}, {"path_prefix", "a/"},
-      {"hostname", ""},       {"kind", "odd"},     {"priority", "high"}};
+      {"hostname", ""},       {"kind", "odd"},     {"priority", "high"},
+      {"timeout_ms", 0}};
   for (const auto& [name, value] : faults) {
     auto route = nlohmann::json::parse(kRoute);
     route[name] = value;
@@ -112,6 +114,20 @@
   (void)ReadRouteDocument(bytes);
 }
 
+TEST(Dialect, ReadsARequestAndForWhichOneItIsMade) {
+  HttpRequestHead head;
+  head.m_headers = {{"X-Request-Id", "a1.b2.c3"},
+                    {"Host", "h.example"},
+                    {"X-Deadline-Ms", "250"}};
+  RequestTerms terms = PlatformDialect().m_read_request(head);
+  EXPECT_EQ(terms.m_parent, RequestId("a1.b2"));
+  EXPECT_EQ(terms.m_time_left, Millis(250));
+  head.m_headers = {{"X-Request-Id", "a1"}, {"X-Deadline-Ms", "-5"}};
+  terms = PlatformDialect().m_read_request(head);
+  EXPECT_TRUE(terms.m_parent.empty());
+  EXPECT_FALSE(terms.m_time_left);
+}
+
 TEST(Dialect, SetsWhatTheSystemSaysWhateverWasSent) {
   HeaderFields fields = {{"X-Caller-Service", "forged"},
                          {"x-deadline-ms", "99999"},
@@ -200,8 +216,11 @@
   request.m_body = Document(kRoute);
   using Kind = DocumentAnswer::Kind;
   const std::vector<std::pair<Kind, unsigned>> statuses = {
-      {Kind::kAccepted, 200}, {Kind::kConflict, 412}, {Kind::kInvalid, 400},
-      {Kind::kNotLeader, 503}, {Kind::kUnknown, 503}};
+      {Kind::kAccepted, 200},
+      {Kind::kConflict, 412},
+      {Kind::kInvalid, 400},
+      {Kind::kNotLeader, 503},
+      {Kind::kUnknown, 503}};
   for (const auto& [kind, status] : statuses) {
     answer.m_kind = kind;
     EXPECT_EQ(ServeOutside(request, control).m_status, status);
