--- a/src/hemlockpoint/control/control_service.cc
+++ b/src/hemlockpoint/control/control_service.cc
@@ -14,7 +14,6 @@
 constexpr Millis kPushPeriod(100);
 constexpr Millis kCommitTimeout(4000);
 constexpr Millis kProofTimeout(1500);
-constexpr Millis kQueryTimeout(1500);
 constexpr Millis kPolicyResendAfter(1000);
 constexpr Millis kPlanPeriod(1000);
 constexpr Millis kInitPeriod(1000);
@@ -416,105 +415,6 @@
          m_group.ProveLeadership(SteadyNow() + kProofTimeout);
 }
 
-std::optional<InstanceQuery> ControlService::QueryInstance(
-    const Endpoint& peer) {
-  const Millis until = SteadyNow() + kQueryTimeout;
-  const Result<LinkId> link = m_links.LinkTo(peer, until);
-  if (!link) {
-    return std::nullopt;
-  }
-  m_instances.erase(*link);
-  m_links.Send(*link, InstanceQuery());
-  const bool answered = m_instance_known.WaitUntil(
-      until, [&] { return m_instances.count(*link) != 0; });
-  return answered ? std::optional<InstanceQuery>(m_instances[*link])
-                  : std::nullopt;
-}
-
-std::optional<std::string> ControlService::InitGroup(
-    const std::string& admin_token_sha256) {
-  if (IsInGroup(m_group.raft())) {
-    return "this host is in a group already";
-  }
-  GroupConfig config;
-  config.m_group_id = RandomName();
-  config.m_admin_token_sha256 = admin_token_sha256;
-  for (const ControlHost& host : m_settings.m_control_hosts) {
-    GroupMember member;
-    member.m_node = host.m_node;
-    member.m_peer = ToText(host.m_peer);
-    member.m_voter = true;
-    if (host.m_node == m_settings.m_node) {
-      member.m_instance = m_group.raft().m_instance;
-      member.m_admin = ToText(m_settings.m_admin);
-    } else {
-      const auto answer = QueryInstance(host.m_peer);
-      if (!answer) {
-        return "control host " + host.m_node.value() + " does not answer";
-      }
-      if (!answer->m_group_id.empty()) {
-        return "control host " + host.m_node.value() + " is in a group already";
-      }
-      member.m_instance = answer->m_instance;
-      member.m_admin = answer->m_admin;
-    }
-    config.m_members.push_back(member);
-  }
-  m_group.Init(config);
-  return std::nullopt;
-}
-
-std::optional<std::string> ControlService::CommitConfig(
-    const GroupConfig& config) {
-  const auto committed = m_group.Commit(
-      EntryKind::kConfig, EncodeFields(config), SteadyNow() + kCommitTimeout);
-  return committed ? std::nullopt
-                   : std::optional<std::string>(committed.reason());
-}
-
-std::optional<std::string> ControlService::AddHost(const NodeId& node,
-                                                   const Endpoint& peer) {
-  GroupConfig config = m_group.raft().m_config.m_config;
-  for (const GroupMember& member : config.m_members) {
-    if (member.m_node == node) {
-      return "a host of this name is a member; remove it first";
-    }
-  }
-  constexpr std::size_t kMaxHosts = 7;
-  if (config.m_members.size() >= kMaxHosts) {
-    return "the group has 7 hosts already";
-  }
-  const auto answer = QueryInstance(peer);
-  if (!answer) {
-    return "the host does not answer";
-  }
-  if (!answer->m_group_id.empty()) {
-    return "the host's data folder belongs to a group already";
-  }
-  GroupMember member;
-  member.m_node = node;
-  member.m_instance = answer->m_instance;
-  member.m_peer = ToText(peer);
-  member.m_admin = answer->m_admin;
-  config.m_members.push_back(member);
-  return CommitConfig(config);
-}
-
-std::optional<std::string> ControlService::RemoveHost(const NodeId& node) {
-  GroupConfig config = m_group.raft().m_config.m_config;
-  const auto member = std::find_if(
-      config.m_members.begin(), config.m_members.end(),
-      [&](const GroupMember& entry) { return entry.m_node == node; });
-  if (member == config.m_members.end()) {
-    return "no such host in the group";
-  }
-  if (config.m_members.size() == 1) {
-    return "the last host cannot be removed";
-  }
-  config.m_members.erase(member);
-  return CommitConfig(config);
-}
-
 bool ControlService::LiftQuarantine(Fingerprint request) {
   const bool lifted = Lift(m_quarantine, request);
   SuspectRow row;
