--- a/src/hemlockpoint/base/millis.cc
+++ b/src/hemlockpoint/base/millis.cc
@@ -1,5 +1,7 @@
 #include "hemlockpoint/base/millis.h"
 
+#include <cmath>
+
 namespace hemlockpoint {
 
 namespace {
@@ -8,6 +10,10 @@
 
 }  // namespace
 
+Millis Floor(Millis time) {
+  return Millis(std::floor(time.value()));
+}
+
 Millis SteadyNow() {
   const auto since_epoch = std::chrono::steady_clock::now().time_since_epoch();
   return Millis(FractionalMillis(since_epoch).count());
--- a/src/hemlockpoint/base/millis.h
+++ b/src/hemlockpoint/base/millis.h
@@ -56,6 +56,9 @@
   return a < b ? b : a;
 }
 
+/// @return The whole milliseconds of a time, rounded down.
+[[nodiscard]] Millis Floor(Millis time);
+
 /// @brief Reads the monotonic clock. Only drivers call it; decisions take the
 /// time as an argument.
 /// @return Milliseconds since an arbitrary point, never decreasing.
--- a/src/hemlockpoint/config/settings.cc
+++ b/src/hemlockpoint/config/settings.cc
@@ -14,6 +14,10 @@
 constexpr std::size_t kMaxNameBytes = 64;
 constexpr double kMebibyte = 1024.0 * 1024.0;
 constexpr double kKibibyte = 1024.0;
+constexpr double kMillisPerSecond = 1000.0;
+// Part of the time until a stopping process is killed in which it waits for
+// its calls; the rest is for its links and its log, on a slow host too.
+constexpr double kDrainShare = 0.85;
 
 std::string ReadName(TomlReader& reader, std::string_view key) {
   const std::string name = reader.String(key);
@@ -78,6 +82,9 @@
     return;
   }
   settings.m_peer = ReadEndpoint(*listen, "peer");
+  settings.m_peer_bind = listen->Has("peer_bind")
+                             ? ReadEndpoint(*listen, "peer_bind")
+                             : settings.m_peer;
   settings.m_admin = ReadEndpoint(*listen, "admin");
   if (settings.m_is_node) {
     settings.m_http = ReadEndpoint(*listen, "http");
@@ -193,6 +200,11 @@
   settings.m_queue_entries = limits->Integer("queue_entries", {1, 65536}, 1024);
   settings.m_drain_timeout =
       Millis(limits->Number("drain_timeout_ms", {0, 3.6e6}, 60'000));
+  if (limits->Has("stop_within_s")) {
+    settings.m_drain_timeout =
+        Millis(limits->Number("stop_within_s", {0.1, 3600}, 60) *
+               kMillisPerSecond * kDrainShare);
+  }
   if (caller.m_longest_deadline < caller.m_default_deadline) {
     limits->Complain("longest_deadline_ms", "shorter than default_deadline_ms");
   }
--- a/src/hemlockpoint/config/settings.h
+++ b/src/hemlockpoint/config/settings.h
@@ -68,7 +68,10 @@
 
   /// Where callers and the target beside the node send requests.
   Endpoint m_http;
+  /// Where other processes reach this one.
   Endpoint m_peer;
+  /// Where it listens for them, when that is another address.
+  Endpoint m_peer_bind;
   /// Where targets announce themselves and hemlockctl asks.
   Endpoint m_admin;
 
--- a/src/hemlockpoint/config/toml_reader.h
+++ b/src/hemlockpoint/config/toml_reader.h
@@ -68,6 +68,11 @@
       std::string_view key,
       std::optional<std::vector<std::string>> fallback = std::nullopt);
 
+  /// @return Whether the table has the key.
+  [[nodiscard]] bool Has(std::string_view key) const {
+    return m_table->contains(key);
+  }
+
   /// @return A reader of the table under the key, or nothing when absent.
   [[nodiscard]] std::optional<TomlReader> Table(std::string_view key);
 
--- a/src/hemlockpoint/control/control_service.cc
+++ b/src/hemlockpoint/control/control_service.cc
@@ -15,6 +15,7 @@
 constexpr Millis kCommitTimeout(4000);
 constexpr Millis kProofTimeout(1500);
 constexpr Millis kPolicyResendAfter(1000);
+constexpr std::size_t kMaxSameResends = 2;
 constexpr Millis kPlanPeriod(1000);
 constexpr Millis kInitPeriod(1000);
 // A push by a leader without fresh proof could carry an outdated document.
@@ -56,6 +57,14 @@
   return row;
 }
 
+SuspectRow SumOf(const CrashCounts& counts, Fingerprint request, Millis now) {
+  SuspectRow row;
+  row.m_fingerprint = request;
+  row.m_crashes = CrashesOf(counts, request, now);
+  row.m_state = IsQuarantined(counts, request, now) ? 1 : 0;
+  return row;
+}
+
 }  // namespace
 
 ControlService::ControlService(const Settings& settings,
@@ -137,12 +146,12 @@
   node.m_revision = heartbeat.m_member.m_revision;
   node.m_document = heartbeat.m_member.m_document;
   UpdateInterests(node.m_subscriber, m_directory, heartbeat);
-  if (is_new && !m_quarantine.m_entries.empty()) {
+  if (is_new) {
     SuspectReport report;
-    for (const auto& [request, entry] : m_quarantine.m_entries) {
-      report.m_rows.push_back(RowOf(request, entry, now));
+    report.m_rows = KnownSuspects(now);
+    if (!report.m_rows.empty()) {
+      m_links.Send(link, report);
     }
-    m_links.Send(link, report);
   }
   PushDirectory(link, node, now);
   PushPolicy(link, node, now);
@@ -176,6 +185,10 @@
 }
 
 void ControlService::Handle(LinkId, const SuspectReport& report) {
+  if (m_settings.m_mode == ServingMode::kRoutes) {
+    CountCrashes(report);
+    return;
+  }
   const Millis now = SteadyNow();
   for (const SuspectRow& row : report.m_rows) {
     const SuspectState state =
@@ -295,13 +308,53 @@
   if (resend && now - node.m_sent_document_at < kPolicyResendAfter) {
     return;
   }
-  const auto push = m_documents.PushFor(node.m_document, resend, now);
-  if (push && m_links.Send(link, *push)) {
+  // The difference may be on its way still; a node that doesn't take it
+  // twice gets the whole document.
+  const std::size_t resends = resend ? node.m_document_resends + 1 : 0;
+  const auto push =
+      m_documents.PushFor(node.m_document, resends >= kMaxSameResends, now);
+  if (push && m_links.SendEncoded(link, *push)) {
+    node.m_document_resends = resends;
     node.m_sent_document = newest;
     node.m_sent_document_at = now;
   }
 }
 
+std::vector<SuspectRow> ControlService::KnownSuspects(Millis now) const {
+  std::vector<SuspectRow> rows;
+  for (const auto& [request, entry] : m_quarantine.m_entries) {
+    rows.push_back(RowOf(request, entry, now));
+  }
+  for (const auto& [request, count] : m_crashes.m_entries) {
+    if (CrashesOf(m_crashes, request, now) >= kCrashesUntilTold) {
+      rows.push_back(SumOf(m_crashes, request, now));
+    }
+  }
+  return rows;
+}
+
+// Nodes add the crashes that they see, and are told the sums.
+void ControlService::CountCrashes(const SuspectReport& report) {
+  const Millis now = SteadyNow();
+  std::vector<SuspectRow> rows;
+  for (const SuspectRow& row : report.m_rows) {
+    constexpr std::uint64_t kLifted = 2;
+    if (row.m_state == kLifted) {
+      if (ClearCrashes(m_crashes, row.m_fingerprint) > 0) {
+        rows.push_back(row);
+      }
+      continue;
+    }
+    AddCrashes(m_crashes, row.m_fingerprint, row.m_crashes, now);
+    if (CrashesOf(m_crashes, row.m_fingerprint, now) >= kCrashesUntilTold) {
+      rows.push_back(SumOf(m_crashes, row.m_fingerprint, now));
+    }
+  }
+  if (!rows.empty()) {
+    PushSuspects(rows);
+  }
+}
+
 void ControlService::PushSuspects(const std::vector<SuspectRow>& rows) {
   SuspectReport report;
   report.m_rows = rows;
--- a/src/hemlockpoint/control/control_service.h
+++ b/src/hemlockpoint/control/control_service.h
@@ -13,6 +13,7 @@
 #include "hemlockpoint/control/group_keeper.h"
 #include "hemlockpoint/control/replicated_state.h"
 #include "hemlockpoint/membership/directory.h"
+#include "hemlockpoint/quarantine/crash_counts.h"
 #include "hemlockpoint/quarantine/quarantine.h"
 #include "hemlockpoint/runtime/fiber_loop.h"
 #include "hemlockpoint/transport/link_layer.h"
@@ -102,6 +103,7 @@
     DocumentVersion m_document;
     DocumentVersion m_sent_document;
     Millis m_sent_document_at{-1e12};
+    std::size_t m_document_resends = 0;
   };
 
   void Tick();
@@ -112,6 +114,8 @@
   void PushDocument(LinkId link, Node& node, Millis now);
   HeartbeatAck MakeAck(Millis now) const;
   void PushSuspects(const std::vector<SuspectRow>& rows);
+  void CountCrashes(const SuspectReport& report);
+  [[nodiscard]] std::vector<SuspectRow> KnownSuspects(Millis now) const;
   void PlanClaims(Millis now);
   void SpreadInit(Millis now);
   std::optional<InstanceQuery> QueryInstance(const Endpoint& peer);
@@ -126,6 +130,8 @@
   GroupKeeper m_keeper;
   Directory m_directory;
   QuarantineTable m_quarantine;
+  /// Route mode: crashes that all nodes have seen.
+  CrashCounts m_crashes;
   std::map<LinkId, Node> m_nodes;
   bool m_led = false;
   std::uint64_t m_claim_sets_version = 1;
--- a/src/hemlockpoint/control/document_keeper.cc
+++ b/src/hemlockpoint/control/document_keeper.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "hemlockpoint/log/log.h"
+#include "hemlockpoint/wire/codec.h"
 #include "hemlockpoint/wire/fields_codec.h"
 
 namespace hemlockpoint {
@@ -14,6 +15,10 @@
 // A push by a leader without fresh proof could carry an outdated document.
 constexpr Millis kPushProofLimit(1500);
 constexpr std::size_t kMaxRecent = 16;
+// An encoded push is sent for so long, and its proof counts as no older than
+// when it was made: with the limit above, it stays below the two seconds that
+// nodes accept.
+constexpr Millis kPushReusedFor(300);
 
 }  // namespace
 
@@ -115,24 +120,36 @@
   return shared;
 }
 
-std::optional<DocumentPush> DocumentKeeper::PushFor(DocumentVersion version,
-                                                    bool whole,
-                                                    Millis now) {
+std::shared_ptr<const std::string>
+DocumentKeeper::PushFor(DocumentVersion version, bool whole, Millis now) {
+  const DocumentVersion newest_version = m_state.m_documents.m_version;
   const Millis proof_age = ProofAge(m_group.raft(), now);
-  const bool current = !(version < m_state.m_documents.m_version);
+  const bool current = !(version < newest_version);
   if (current || proof_age > kPushProofLimit) {
-    return std::nullopt;
+    return nullptr;
+  }
+  const auto older = m_recent.find(version);
+  const bool differs = !whole && older != m_recent.end();
+  EncodedPush& push = m_pushes[differs ? version : DocumentVersion()];
+  const bool fresh = push.m_message && push.m_newest == newest_version &&
+                     now - push.m_made < kPushReusedFor;
+  if (fresh) {
+    return push.m_message;
   }
   const std::shared_ptr<const RouteDocument> newest = Newest();
   if (!newest) {
-    return std::nullopt;
+    return nullptr;
   }
-  const auto older = m_recent.find(version);
-  const bool differs = !whole && older != m_recent.end();
-  DocumentPush push =
+  DocumentPush message =
       MakeDocumentPush(differs ? older->second.get() : nullptr, *newest);
-  push.m_proof_age = proof_age;
-  return push;
+  message.m_proof_age = proof_age;
+  push = {newest_version, now,
+          std::make_shared<const std::string>(EncodeMessage(message))};
+  const std::shared_ptr<const std::string> encoded = push.m_message;
+  if (m_pushes.size() > kMaxRecent) {
+    m_pushes.erase(m_pushes.begin());
+  }
+  return encoded;
 }
 
 }  // namespace hemlockpoint
--- a/src/hemlockpoint/control/document_keeper.h
+++ b/src/hemlockpoint/control/document_keeper.h
@@ -51,11 +51,12 @@
   /// @brief Reads the newest document; used on a fiber.
   [[nodiscard]] DocumentAnswer Read();
 
-  /// @brief Makes what a node needs that has a document of some version.
-  /// @return Nothing when it has the newest, or this host can't be sure.
-  [[nodiscard]] std::optional<DocumentPush> PushFor(DocumentVersion version,
-                                                    bool whole,
-                                                    Millis now);
+  /// @brief Makes what a node needs that has a document of some version. Nodes
+  /// with the same version share the message.
+  /// @return The encoded message; null when the node has the newest, or this
+  /// host can't be sure of it.
+  [[nodiscard]] std::shared_ptr<const std::string>
+  PushFor(DocumentVersion version, bool whole, Millis now);
 
  private:
   DocumentAnswer NotLeader() const;
@@ -64,6 +65,14 @@
   GroupDriver& m_group;
   const ReplicatedState& m_state;
   DocumentReader m_reader;
+  // An encoded push to nodes of one version.
+  struct EncodedPush {
+    DocumentVersion m_newest;
+    Millis m_made;
+    std::shared_ptr<const std::string> m_message;
+  };
+  /// By the version that it builds on; 0 for the whole document.
+  std::map<DocumentVersion, EncodedPush> m_pushes;
   /// Documents of late, for differences.
   std::map<DocumentVersion, std::shared_ptr<const RouteDocument>> m_recent;
 };
--- a/src/hemlockpoint/dispatch/fwd.h
+++ b/src/hemlockpoint/dispatch/fwd.h
@@ -3,6 +3,7 @@
 
 namespace hemlockpoint {
 
+struct Appointments;
 struct SlotQueue;
 struct WaitingCall;
 struct ServiceTimes;
--- a/src/hemlockpoint/dispatch/repeat_window.h
+++ b/src/hemlockpoint/dispatch/repeat_window.h
@@ -2,6 +2,7 @@
 #define HEMLOCKPOINT_DISPATCH_REPEAT_WINDOW_H_
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 
 #include "hemlockpoint/base/millis.h"
@@ -20,13 +21,20 @@
 /// @brief Requests of one node for a service, and their repeats, over a
 /// sliding window.
 struct RepeatWindow {
-  static constexpr std::size_t kBuckets = 10;
+  static constexpr std::size_t kBuckets = 20;
+  /// Ranks that are told apart; less important ones count as the last.
+  static constexpr std::size_t kRanks = 4;
+
   struct Bucket {
     std::int64_t m_slice = -1;
     std::uint64_t m_requests = 0;
-    std::uint64_t m_repeats = 0;
+    /// Repeats that were allowed or inherited, by rank.
+    std::array<std::uint64_t, kRanks> m_repeats{};
+    /// Repeats that were asked for, whether they were allowed or not.
+    std::array<std::uint64_t, kRanks> m_asked{};
   };
-  std::array<Bucket, kBuckets> m_buckets{};
+  /// One more than the window has, since its ends cut a bucket each.
+  std::array<Bucket, kBuckets + 1> m_buckets{};
 };
 
 /// @brief Counts the first sending of a request.
@@ -36,12 +44,18 @@
 /// withheld, but leaves less room for others.
 void CountInheritedRepeat(RepeatWindow& window,
                           const RepeatShare& share,
+                          std::uint64_t rank,
                           Millis now);
 
-/// @brief Charges a repeat if the node's part allows it.
+/// @brief Charges a repeat if the node's part allows it. While targets turn
+/// away more calls than there are repeats for, the more important ranks have
+/// theirs first: what they asked for in the last second is kept for them over
+/// the whole window.
+/// @param rank 0 is the most important.
 /// @return Whether the request may be sent once more.
 [[nodiscard]] bool TakeRepeat(RepeatWindow& window,
                               const RepeatShare& share,
+                              std::uint64_t rank,
                               Millis now);
 
 }  // namespace hemlockpoint
--- a/src/hemlockpoint/dispatch/slot_queue.cc
+++ b/src/hemlockpoint/dispatch/slot_queue.cc
@@ -38,8 +38,8 @@
 auto OrderOf(const SlotQueue& queue, const WaitingCall& call, Millis now) {
   const bool late = IsLate(queue, call, now);
   const Millis by = late ? call.m_deadline : call.m_objective;
-  return std::make_tuple(!GoesFirst(queue, call), call.m_rank, late,
-                         by.value());
+  return std::make_tuple(!GoesFirst(queue, call), call.m_rank,
+                         !call.m_returning, late, by.value());
 }
 
 // Slots that are used: a target slows down when the last ones are taken.
@@ -67,6 +67,11 @@
                                            : queue.m_times.m_mean;
 }
 
+// Whether a waiting call of the same kind and rank goes before another.
+bool IsAhead(const WaitingCall& waiting, const WaitingCall& call) {
+  return waiting.m_returning || !call.m_returning;
+}
+
 Millis WaitForRank(const SlotQueue& queue, const WaitingCall& call) {
   const auto limit = queue.m_limits.find(call.m_rank);
   if (call.m_nested || limit == queue.m_limits.end() ||
@@ -76,7 +81,8 @@
   const auto ahead =
       std::count_if(queue.m_waiting.begin(), queue.m_waiting.end(),
                     [&](const WaitingCall& other) {
-                      return !other.m_nested && other.m_rank == call.m_rank;
+                      return !other.m_nested && other.m_rank == call.m_rank &&
+                             IsAhead(other, call);
                     });
   const Millis usual = ExpectedServiceTime(queue.m_times, call.m_route);
   return usual * ((static_cast<double>(ahead) + 1) /
@@ -90,8 +96,11 @@
   const auto ahead = std::count_if(
       queue.m_waiting.begin(), queue.m_waiting.end(),
       [&](const WaitingCall& other) {
-        return other.m_nested != call.m_nested ? other.m_nested
-                                               : other.m_rank <= call.m_rank;
+        if (other.m_nested != call.m_nested) {
+          return other.m_nested;
+        }
+        return other.m_rank < call.m_rank ||
+               (other.m_rank == call.m_rank && IsAhead(other, call));
       });
   return MeanTime(queue) * ((static_cast<double>(ahead) + 1) / SlotsOf(queue));
 }
@@ -109,7 +118,7 @@
       now + wait +
       ExpectedServiceTime(queue.m_times, call.m_route) * kAdmissionMargin;
   const bool full = queue.m_waiting.size() >= kMaxWaiting;
-  const bool patient = call.m_nested || call.m_rank == 0;
+  const bool patient = call.m_nested || call.m_rank == 0 || call.m_returning;
   const Millis limit =
       patient ? call.m_deadline : Min(call.m_deadline, call.m_objective);
   const bool too_late =
--- a/src/hemlockpoint/dispatch/slot_queue.h
+++ b/src/hemlockpoint/dispatch/slot_queue.h
@@ -22,6 +22,8 @@
   std::uint64_t m_rank = 0;
   /// Made by a target for a request that it works on.
   bool m_nested = false;
+  /// Was refused before and has come back when it was told to.
+  bool m_returning = false;
   Millis m_arrival;
   /// When nobody waits for the answer any more.
   Millis m_deadline;
@@ -70,16 +72,18 @@
 };
 
 /// @brief Puts a call among the waiting ones, or refuses it at once when its
-/// turn would come too late: for a request that is not of the first rank,
-/// after its objective; for others, after the deadline. Nested calls wait, as
+/// turn would come too late: for a request that is not of the first rank
+/// and hasn't been refused before, after its objective; for others, after the
+/// deadline. Nested calls wait, as
 /// long as there is any chance, since work has been done for them.
 [[nodiscard]] SlotOffer OfferCall(SlotQueue& queue,
                                   const WaitingCall& call,
                                   Millis now);
 
 /// @brief Takes the next call for a free slot: nested calls first, but for
-/// kRootShare of the slots; then the most important rank; within it calls that
-/// can still be in time, the earliest objective first; then late ones.
+/// kRootShare of the slots; then the most important rank; within it those that
+/// have come back as they were told, then calls that can still be in time, the
+/// earliest objective first; then late ones.
 /// @return Nothing while no slot is free or no call may run.
 [[nodiscard]] std::optional<WaitingCall> TakeNextCall(SlotQueue& queue,
                                                       Millis now);
--- a/src/hemlockpoint/membership/directory.cc
+++ b/src/hemlockpoint/membership/directory.cc
@@ -27,8 +27,11 @@
   }
   DirectoryMember& member = directory.m_members[entry.m_node];
   const bool known = found != directory.m_members.end();
-  // A heartbeat of a former life may arrive late.
-  if (known && entry.m_incarnation < member.m_entry.m_incarnation) {
+  // A heartbeat of a former life may arrive late. One that keeps coming while
+  // the other life is silent is of a process that was started after its host's
+  // clock had been set back.
+  const bool silent = known && now - member.m_renewed > kFormerLifeSilence;
+  if (known && !silent && entry.m_incarnation < member.m_entry.m_incarnation) {
     return false;
   }
   const bool changed =
--- a/src/hemlockpoint/membership/directory.h
+++ b/src/hemlockpoint/membership/directory.h
@@ -16,6 +16,9 @@
 inline constexpr Millis kHeartbeatPeriod(500);
 /// @brief Time without a heartbeat after which a node counts as dead.
 inline constexpr Millis kMemberLease(2500);
+/// @brief Silence after which a node's later life gives way to an earlier
+/// one: two heartbeats.
+inline constexpr Millis kFormerLifeSilence(1000);
 /// @brief Time after which a new directory has heard every living node.
 inline constexpr Millis kDirectoryWarmUp(4000);
 /// @brief Time for which the directory remembers that a member has gone.
--- a/src/hemlockpoint/node/node.cc
+++ b/src/hemlockpoint/node/node.cc
@@ -43,6 +43,7 @@
   hello.m_group = core.m_settings.m_group;
   hello.m_node = core.m_settings.m_node;
   hello.m_incarnation = core.m_incarnation;
+  hello.m_failure_domain = core.m_settings.m_failure_domain;
   return hello;
 }
 
--- a/src/hemlockpoint/peer/peer_hub.cc
+++ b/src/hemlockpoint/peer/peer_hub.cc
@@ -19,6 +19,8 @@
 constexpr long kOpenTimeoutMillis = 1000;
 constexpr long kCloseTimeoutMillis = 500;
 constexpr std::size_t kMaxLinks = 4096;
+// The largest message and the byte that tells how it is packed.
+constexpr std::size_t kMaxPackedBytes = kMaxMessageBytes + 1;
 
 // One thread drives the hub, so the library's locks are left out.
 template <typename Base>
@@ -26,7 +28,7 @@
   // The library looks these up by name.
   // NOLINTBEGIN(readability-identifier-naming)
   using concurrency_type = websocketpp::concurrency::none;
-  static constexpr std::size_t max_message_size = kMaxMessageBytes;
+  static constexpr std::size_t max_message_size = kMaxPackedBytes;
   static constexpr long timeout_open_handshake = kOpenTimeoutMillis;
   static constexpr long timeout_close_handshake = kCloseTimeoutMillis;
   static const websocketpp::log::level alog_level =
--- a/src/hemlockpoint/quarantine/fwd.h
+++ b/src/hemlockpoint/quarantine/fwd.h
@@ -3,6 +3,7 @@
 
 namespace hemlockpoint {
 
+struct CrashCounts;
 struct QuarantineTable;
 struct SuspectEntry;
 
--- a/src/hemlockpoint/relay/core.h
+++ b/src/hemlockpoint/relay/core.h
@@ -7,9 +7,11 @@
 #include <string>
 
 #include "hemlockpoint/config/settings.h"
+#include "hemlockpoint/dispatch/appointments.h"
 #include "hemlockpoint/dispatch/repeat_window.h"
 #include "hemlockpoint/dispatch/service_times.h"
 #include "hemlockpoint/dispatch/target_choice.h"
+#include "hemlockpoint/quarantine/crash_counts.h"
 #include "hemlockpoint/relay/dialect.h"
 #include "hemlockpoint/relay/metrics.h"
 #include "hemlockpoint/routes/route_table.h"
@@ -42,6 +44,10 @@
   /// Congestion that the target's own calls have met, a moving average.
   double m_nested_congestion = 0;
   Millis m_nested_congestion_time{-1e12};
+  /// Requests that were refused here and may come back.
+  Appointments m_appointments;
+  /// Requests that were in flight when targets crashed.
+  CrashCounts m_crashes;
   RelayMetrics m_metrics;
   /// Set before the parts run; outlives them.
   LinkLayer* m_links = nullptr;
--- /dev/null
+++ b/src/hemlockpoint/relay/crash_watch.cc
@@ -0,0 +1,96 @@
+#include "hemlockpoint/relay/crash_watch.h"
+
+#include <array>
+#include <utility>
+
+#include "hemlockpoint/http/client.h"
+#include "hemlockpoint/log/log.h"
+
+namespace hemlockpoint {
+
+namespace {
+
+// When the target's port is tried after a connection broke: a process that is
+// going down may still accept connections at first.
+constexpr std::array<Millis, 2> kProbeAfter = {Millis(50), Millis(200)};
+constexpr Millis kProbeTimeout(300);
+
+constexpr std::uint64_t kStateSuspect = 0;
+constexpr std::uint64_t kStateQuarantined = 1;
+constexpr std::uint64_t kStateLifted = 2;
+
+}  // namespace
+
+void CrashWatch::OnConnectionLost(std::vector<Fingerprint> in_flight,
+                                  const Endpoint& target) {
+  // Every connection breaks at a crash, so the first one that is noticed
+  // stands for all calls then in flight.
+  if (m_probing) {
+    return;
+  }
+  m_probing = true;
+  m_core.m_loop.Spawn([this, in_flight = std::move(in_flight), target] {
+    if (IsRefusingConnections(target)) {
+      CountCrash(in_flight);
+    }
+    m_probing = false;
+  });
+}
+
+bool CrashWatch::IsRefusingConnections(const Endpoint& target) const {
+  HttpClientPool probe(m_core.m_loop.io(), target, 1);
+  for (const Millis pause : kProbeAfter) {
+    SleepFor(pause);
+    auto opened = probe.Open(kProbeTimeout);
+    if (!opened) {
+      return true;
+    }
+    (*opened)->Cancel();
+  }
+  return false;
+}
+
+void CrashWatch::CountCrash(const std::vector<Fingerprint>& in_flight) {
+  const Millis now = SteadyNow();
+  SuspectReport report;
+  for (const Fingerprint request : in_flight) {
+    AddCrashes(m_core.m_crashes, request, 1, now);
+    report.m_rows.push_back({request, kStateSuspect, Millis(0), 1});
+  }
+  LogLine(LogLevel::kWarning, "target_crashed")
+      .With("in_flight", static_cast<std::uint64_t>(in_flight.size()));
+  if (m_report && !report.m_rows.empty()) {
+    m_report(report);
+  }
+}
+
+void CrashWatch::OnAnswer(Fingerprint request) {
+  if (m_core.m_crashes.m_entries.empty()) {
+    return;
+  }
+  const std::uint64_t crashes = ClearCrashes(m_core.m_crashes, request);
+  // Fewer crashes are known to this node alone.
+  if (crashes >= kCrashesUntilTold && m_report) {
+    SuspectReport report;
+    report.m_rows.push_back({request, kStateLifted, Millis(0), 0});
+    m_report(report);
+  }
+}
+
+void CrashWatch::Handle(const SuspectReport& report) {
+  const Millis now = SteadyNow();
+  for (const SuspectRow& row : report.m_rows) {
+    if (row.m_state == kStateLifted) {
+      (void)ClearCrashes(m_core.m_crashes, row.m_fingerprint);
+      continue;
+    }
+    TakeCrashSum(m_core.m_crashes, row.m_fingerprint, row.m_crashes, now);
+    if (row.m_state == kStateQuarantined) {
+      LogLine(LogLevel::kWarning, "request_quarantined")
+          .With("fingerprint", row.m_fingerprint.value())
+          .With("crashes", row.m_crashes);
+    }
+  }
+}
+
+}  // namespace hemlockpoint
--- a/src/hemlockpoint/relay/fwd.h
+++ b/src/hemlockpoint/relay/fwd.h
@@ -7,6 +7,7 @@
 struct OutsideOperations;
 struct RelayCore;
 struct TargetReport;
+class CrashWatch;
 class RouteEntry;
 class SlotGate;
 class RelayNode;
--- a/src/hemlockpoint/relay/gate_dispatch.cc
+++ b/src/hemlockpoint/relay/gate_dispatch.cc
@@ -188,6 +188,7 @@
   answer.m_complete = whole;
   answer.m_load = Load();
   session.m_answer_begun = true;
+  m_crashes.OnAnswer(session.terms().m_fingerprint);
   session.m_status = head.m_status;
   if (session.cancelled()) {
     return std::nullopt;
@@ -213,7 +214,21 @@
     return EndedUnknown(Reason::kDeadlinePassed,
                         {"ms_past_deadline", over.value(), 0});
   }
+  if (!session.cancelled()) {
+    WatchForCrash();
+  }
   return EndedUnknown(Reason::kTargetLost, {signal, 1, 0});
 }
 
+void SlotGate::WatchForCrash() {
+  std::vector<Fingerprint> in_flight;
+  for (const auto& [id, session] : m_sessions) {
+    if (session->m_handed_over && !session->m_answer_begun) {
+      in_flight.push_back(session->terms().m_fingerprint);
+    }
+  }
+  m_crashes.OnConnectionLost(std::move(in_flight),
+                             m_core.m_settings.m_target.m_endpoint);
+}
+
 }  // namespace hemlockpoint
--- a/src/hemlockpoint/relay/relay_node.cc
+++ b/src/hemlockpoint/relay/relay_node.cc
@@ -55,6 +55,7 @@
   hello.m_group = core.m_settings.m_group;
   hello.m_node = core.m_settings.m_node;
   hello.m_incarnation = core.m_incarnation;
+  hello.m_failure_domain = core.m_settings.m_failure_domain;
   return hello;
 }
 
@@ -101,6 +102,9 @@
             [this](HttpExchange& exchange) { m_admin.Serve(exchange); }) {
     m_core.m_links = &m_links;
     m_gate.OnChange([this] { m_membership.HeartbeatSoon(); });
+    m_gate.crashes().OnReport([this](const SuspectReport& report) {
+      m_links.SendTo(m_membership.control_endpoint(), report);
+    });
     if (settings.m_is_control) {
       m_control = std::make_unique<ControlService>(
           m_core.m_settings, loop, m_links,
@@ -158,6 +162,12 @@
   }
   void On(LinkId, const DirectoryDelta& delta) { m_membership.Handle(delta); }
   void On(LinkId, const DocumentPush& push) { TakeDocument(push); }
+  void On(LinkId link, const SuspectReport& report) {
+    ToControl(link, report);
+    if (m_core.m_settings.m_is_node) {
+      m_gate.crashes().Handle(report);
+    }
+  }
   void On(LinkId link, const Heartbeat& m) { ToControl(link, m); }
   void On(LinkId link, const HostBeat& m) { ToControl(link, m); }
   void On(LinkId link, const GroupInit& m) { ToControl(link, m); }
@@ -269,7 +279,7 @@
       error = m_control->Start();
     }
     if (!error) {
-      error = m_links.Listen(settings.m_peer);
+      error = m_links.Listen(settings.m_peer_bind);
     }
     if (!error) {
       error = m_outside_http.Listen(settings.m_outside);
--- a/src/hemlockpoint/relay/route_attempts.cc
+++ b/src/hemlockpoint/relay/route_attempts.cc
@@ -36,7 +36,7 @@
 constexpr double kOverdueFactor = 2;
 // Part of the repeats allowed to all nodes that a node spends by itself; the
 // rest is for windows that lie unevenly on several nodes.
-constexpr double kRepeatRatioPart = 0.7;
+constexpr double kRepeatRatioPart = 0.85;
 constexpr double kRepeatSlackPart = 0.3;
 
 }  // namespace
@@ -155,7 +155,7 @@
     return false;
   }
   if (!TakeRepeat(m_core.m_repeats[call.m_service], ShareOf(call.m_service),
-                  now)) {
+                  call.m_rank, now)) {
     ++m_core.m_metrics.m_repeats_denied;
     return false;
   }
@@ -173,8 +173,11 @@
   terms.m_depth = call.m_nested ? 1 : 0;
   terms.m_repeat = call.m_inherited_repeat || call.m_attempts > 0;
   terms.m_route = call.m_route->m_name.value();
-  terms.m_time_left = call.m_deadline - now;
-  terms.m_objective_left = call.m_objective - now;
+  terms.m_fingerprint = call.m_fingerprint;
+  terms.m_returning = call.m_returning;
+  // Whole milliseconds take fewer bytes between nodes.
+  terms.m_time_left = Floor(call.m_deadline - now);
+  terms.m_objective_left = Floor(call.m_objective - now);
   start.m_request = call.m_head;
   start.m_body.m_data = call.m_body.substr(0, kFirstBodyBytes);
   start.m_complete = call.m_body.size() <= kFirstBodyBytes;
@@ -198,6 +201,10 @@
   if (!link) {
     return Result<OutboundCall>::Failure(link.reason());
   }
+  // Nothing is sent for a caller that left while the link was opened.
+  if (call.m_caller_gone) {
+    return Result<OutboundCall>::Failure("the caller has left");
+  }
   return m_core.m_links->StartCall(*link, std::move(start));
 }
 
--- a/src/hemlockpoint/relay/route_entry.cc
+++ b/src/hemlockpoint/relay/route_entry.cc
@@ -94,6 +94,18 @@
   call.m_deadline = call.m_arrival + left;
   call.m_objective = call.m_arrival +
                      (route.m_objective > Millis(0) ? route.m_objective : left);
+  call.m_fingerprint =
+      DigestOf({head.m_method, call.m_terms.m_host, head.m_path, call.m_body,
+                m_core.m_settings.m_target.m_service.value()});
+  if (IsQuarantined(m_core.m_crashes, call.m_fingerprint, call.m_arrival)) {
+    return NotRun(Reason::kQuarantined,
+                  {"target_crashes", kCrashesUntilQuarantine, 0},
+                  kRetryAfterQuarantine);
+  }
+  // Calls of targets aren't sent again by whoever made them.
+  call.m_returning =
+      !call.m_nested && KeepAppointment(m_core.m_appointments,
+                                        call.m_fingerprint, call.m_arrival);
   call.m_head.m_service = call.m_service;
   call.m_head.m_method = head.m_method;
   call.m_head.m_path = head.m_path;
@@ -108,7 +120,7 @@
     call.m_inherited_repeat = parent->m_repeat;
   }
   if (call.m_inherited_repeat) {
-    CountInheritedRepeat(repeats, share, call.m_arrival);
+    CountInheritedRepeat(repeats, share, call.m_rank, call.m_arrival);
   }
   return std::nullopt;
 }
@@ -185,6 +197,11 @@
   if (refusal.m_execution == Execution::kNotRun) {
     refusal.m_retry_after = JitteredRetryAfter(
         Max(refusal.m_retry_after, kShortestRetryAfter), m_core.Random());
+    if (call.m_route != nullptr && !call.m_nested) {
+      const Millis now = SteadyNow();
+      MakeAppointment(m_core.m_appointments, call.m_fingerprint,
+                      refusal.m_retry_after, call.m_deadline - now, now);
+    }
   }
   LogLine(LogLevel::kInfo, "request_refused")
       .With("request_id", call.m_terms.m_id.value())
@@ -199,6 +216,7 @@
                             ? call.m_table->m_document.m_version.value()
                             : std::uint64_t{0})
       .With("retry_after_ms", refusal.m_retry_after.value())
+      .With("returning", call.m_returning ? "yes" : "no")
       .With("held_ms", (SteadyNow() - call.m_arrival).value());
   const HttpResponseHead head =
       m_core.m_dialect.m_write_refusal(refusal, call.m_terms.m_id);
--- a/src/hemlockpoint/relay/route_entry.h
+++ b/src/hemlockpoint/relay/route_entry.h
@@ -19,6 +19,8 @@
   std::shared_ptr<const RouteTable> m_table;
   const Route* m_route = nullptr;
   ServiceName m_service;
+  /// Tells a request that comes again: same caller, path and body.
+  Fingerprint m_fingerprint;
   Millis m_arrival;
   Millis m_deadline;
   Millis m_objective;
@@ -32,6 +34,8 @@
   /// Importance: the route's own, or that of the request for which a nested
   /// call is made. 0 is the most important.
   std::uint64_t m_rank = 0;
+  /// Was refused here and has come back when it was told to.
+  bool m_returning = false;
   /// Made by a run that was a repeat itself.
   bool m_inherited_repeat = false;
   std::optional<OutboundCall> m_outbound;
--- a/src/hemlockpoint/relay/slot_gate.cc
+++ b/src/hemlockpoint/relay/slot_gate.cc
@@ -3,6 +3,7 @@
 #include "hemlockpoint/relay/slot_gate.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "hemlockpoint/log/log.h"
@@ -29,7 +30,7 @@
 
 }  // namespace
 
-SlotGate::SlotGate(RelayCore& core) : m_core(core) {}
+SlotGate::SlotGate(RelayCore& core) : m_core(core), m_crashes(core) {}
 
 SlotGate::~SlotGate() = default;
 
@@ -185,10 +186,15 @@
   load.m_in_flight = m_queue.m_running;
   load.m_queued = m_queue.m_waiting.size();
   load.m_limit = static_cast<double>(m_queue.m_slots);
-  load.m_service_time = m_queue.m_times.m_mean;
+  load.m_service_time = Floor(m_queue.m_times.m_mean);
   load.m_leaving = m_record.m_leaving || m_core.m_leaving;
+  // A sixteenth is precise enough, and takes fewer bytes between nodes.
+  constexpr double kSteps = 16;
   load.m_congestion =
-      std::max(m_queue.m_congestion, NestedCongestion(m_core, SteadyNow()));
+      std::round(std::max(m_queue.m_congestion,
+                          NestedCongestion(m_core, SteadyNow())) *
+                 kSteps) /
+      kSteps;
   return load;
 }
 
@@ -206,6 +212,11 @@
   if (m_record.m_leaving) {
     return NotRun(Reason::kTargetLeaving, {"leaving", 1, 0}, Millis(0));
   }
+  if (IsQuarantined(m_core.m_crashes, start.m_terms.m_fingerprint, now)) {
+    return NotRun(Reason::kQuarantined,
+                  {"target_crashes", kCrashesUntilQuarantine, 0},
+                  kRetryAfterQuarantine);
+  }
   if (now < m_down_until) {
     return NotRun(Reason::kTargetUnreachable,
                   {"down_for_ms", (m_down_until - now).value(), 0},
@@ -247,6 +258,7 @@
   }
   WaitingCall& waiting = session->m_slot;
   waiting.m_nested = session->terms().m_depth > 0;
+  waiting.m_returning = session->terms().m_returning;
   waiting.m_call = session->m_id;
   waiting.m_route = session->terms().m_route;
   waiting.m_rank = session->terms().m_class;
--- a/src/hemlockpoint/relay/slot_gate.h
+++ b/src/hemlockpoint/relay/slot_gate.h
@@ -9,6 +9,7 @@
 #include "hemlockpoint/dispatch/slot_queue.h"
 #include "hemlockpoint/http/client.h"
 #include "hemlockpoint/relay/core.h"
+#include "hemlockpoint/relay/crash_watch.h"
 #include "hemlockpoint/relay/target_report.h"
 #include "hemlockpoint/transport/call.h"
 
@@ -46,6 +47,8 @@
     m_on_change = std::move(changed);
   }
 
+  [[nodiscard]] CrashWatch& crashes() { return m_crashes; }
+
   /// @return The terms of a request that the target works on, or null.
   [[nodiscard]] const CallTerms* FindRunning(const RequestId& request) const;
 
@@ -66,12 +69,14 @@
   std::optional<Refusal> RelayAnswer(GateSession& session,
                                      const HttpResponseHead& head);
   Refusal Lost(GateSession& session, const char* signal);
+  void WatchForCrash();
   void Refuse(GateSession& session, Refusal refusal);
   LoadReport Load() const;
   void ForgetTarget(const char* reason);
   bool Probe();
 
   RelayCore& m_core;
+  CrashWatch m_crashes;
   TargetRecord m_record;
   SlotQueue m_queue;
   std::shared_ptr<HttpClientPool> m_pool;
--- a/src/hemlockpoint/runtime/fiber_loop.cc
+++ b/src/hemlockpoint/runtime/fiber_loop.cc
@@ -100,7 +100,11 @@
                 [state, body = std::move(body)] {
                   body();
                   --state->m_fibers;
-                  state->m_changed.notify_all();
+                  // Every periodic fiber waits for this event too, so it is
+                  // told of nothing but the end.
+                  if (state->m_stopping) {
+                    state->m_changed.notify_all();
+                  }
                 })
       .detach();
 }
--- a/src/hemlockpoint/transport/link_layer.cc
+++ b/src/hemlockpoint/transport/link_layer.cc
@@ -63,6 +63,10 @@
   return m_state->Send(link, message);
 }
 
+bool LinkLayer::SendEncoded(LinkId link, const std::string& message) {
+  return m_state->SendEncoded(link, message);
+}
+
 void LinkLayer::SendTo(const Endpoint& endpoint, Message message) {
   State& state = *m_state;
   const auto open = state.m_by_endpoint.find(endpoint);
--- a/src/hemlockpoint/transport/link_layer.h
+++ b/src/hemlockpoint/transport/link_layer.h
@@ -62,6 +62,10 @@
   /// @return Whether the link was open.
   bool Send(LinkId link, const Message& message);
 
+  /// @brief Sends a message that EncodeMessage() has made, for messages that
+  /// go to many peers.
+  bool SendEncoded(LinkId link, const std::string& message);
+
   /// @brief Sends a message to an endpoint when a link to it is open, without
   /// waiting. Messages to a peer that can't be reached, or doesn't take them,
   /// are dropped.
--- a/src/hemlockpoint/transport/link_state.h
+++ b/src/hemlockpoint/transport/link_state.h
@@ -13,6 +13,7 @@
 #include "hemlockpoint/peer/peer_hub.h"
 #include "hemlockpoint/transport/link_layer.h"
 #include "hemlockpoint/wire/codec.h"
+#include "hemlockpoint/wire/stream_compression.h"
 
 namespace hemlockpoint {
 
@@ -48,6 +49,9 @@
   Millis m_heard;
   /// When a ping was sent that nothing has followed; 0 for none.
   Millis m_pinged;
+  /// Null on links within a failure domain, where bytes are cheap.
+  std::unique_ptr<StreamCompressor> m_compressor;
+  StreamExpander m_expander;
 };
 
 }  // namespace internal
@@ -71,7 +75,16 @@
              [this](LinkId id) { Closed(id); }}) {}
 
   bool Send(LinkId id, const Message& message) {
-    const std::string bytes = EncodeMessage(message);
+    return SendEncoded(id, EncodeMessage(message));
+  }
+
+  bool SendEncoded(LinkId id, const std::string& encoded) {
+    const auto link = m_links.find(id);
+    const bool compressed =
+        link != m_links.end() && link->second.m_compressor != nullptr;
+    const std::string bytes = compressed
+                                  ? link->second.m_compressor->Pack(encoded)
+                                  : PackPlain(encoded);
     if (!m_hub.Send(id, bytes)) {
       return false;
     }
@@ -135,7 +148,13 @@
     found->second.m_pinged = Millis(0);
     ++m_counters.m_messages_received;
     m_counters.m_bytes_received += bytes.size();
-    Result<Message> message = DecodeMessage(bytes);
+    const Result<std::string> unpacked =
+        found->second.m_expander.Unpack(bytes, kMaxMessageBytes);
+    if (!unpacked) {
+      Reject(id, found->second, unpacked.reason());
+      return;
+    }
+    Result<Message> message = DecodeMessage(*unpacked);
     if (!message) {
       Reject(id, found->second, message.reason());
       return;
@@ -169,6 +188,9 @@
       link.m_greeted = true;
       link.m_heard = SteadyNow();
       link.m_peer = hello->m_node;
+      if (hello->m_failure_domain != m_hello.m_failure_domain) {
+        link.m_compressor = std::make_unique<StreamCompressor>();
+      }
       m_greeted.Notify();
     }
   }
--- a/src/hemlockpoint/wire/call_messages.h
+++ b/src/hemlockpoint/wire/call_messages.h
@@ -14,7 +14,7 @@
 
 /// @brief Version of the protocol between the system's processes. Peers of
 /// another version are refused.
-inline constexpr std::uint64_t kProtocolVersion = 2;
+inline constexpr std::uint64_t kProtocolVersion = 3;
 
 /// @brief Bytes of one body chunk at most, so that chunks of large bodies
 /// interleave with small messages.
@@ -50,6 +50,8 @@
   NodeId m_node;
   /// Distinguishes two lives of one node; grows with each start.
   std::uint64_t m_incarnation = 0;
+  /// Messages between failure domains are compressed.
+  std::string m_failure_domain;
 
   template <typename Self, typename Visitor>
   static void Visit(Self& self, Visitor& visit) {
@@ -57,6 +59,7 @@
     visit("group", self.m_group);
     visit("node", self.m_node);
     visit("incarnation", self.m_incarnation);
+    visit("domain", self.m_failure_domain);
   }
 };
 
@@ -74,6 +77,8 @@
   bool m_repeat = false;
   bool m_idempotent = true;
   bool m_long = false;
+  /// The request was refused and has come back when it was told to.
+  bool m_returning = false;
   /// The request was in flight when a target crashed.
   bool m_suspect = false;
   std::string m_key;
@@ -97,6 +102,7 @@
     visit("rp", self.m_repeat);
     visit("id", self.m_idempotent);
     visit("l", self.m_long);
+    visit("rt_", self.m_returning);
     visit("su", self.m_suspect);
     visit("ky", self.m_key);
     visit("f", self.m_fingerprint);
--- a/src/hemlockpoint/wire/fwd.h
+++ b/src/hemlockpoint/wire/fwd.h
@@ -11,6 +11,8 @@
 struct CallAbort;
 struct Heartbeat;
 struct DirectoryDelta;
+class StreamCompressor;
+class StreamExpander;
 
 }  // namespace hemlockpoint
 
--- a/src/hemlockpoint/wire/policy_messages.h
+++ b/src/hemlockpoint/wire/policy_messages.h
@@ -51,12 +51,16 @@
   /// 0 suspect, 1 quarantined, 2 lifted by an operator.
   std::uint64_t m_state = 0;
   Millis m_time_left;
+  /// Route mode: crashes that a node adds, or their sum as a control host
+  /// passes it on.
+  std::uint64_t m_crashes = 0;
 
   template <typename Self, typename Visitor>
   static void Visit(Self& self, Visitor& visit) {
     visit("print", self.m_fingerprint);
     visit("state", self.m_state);
     visit("left", self.m_time_left);
+    visit("crashes", self.m_crashes);
   }
 };
 
--- a/test/hemlockpoint/membership/directory_test.cc
+++ b/test/hemlockpoint/membership/directory_test.cc
@@ -97,6 +97,18 @@
       "stock");
 }
 
+// The host's clock was set back before the process was started again, so the
+// new life counts as the earlier one.
+TEST(Directory, ALifeAfterTheClockWasSetBackIsTakenOnceTheOtherIsSilent) {
+  Directory directory = MakeDirectory();
+  RenewMember(directory, MakeMember("a", "stock", 5), Millis(0));
+  EXPECT_FALSE(
+      RenewMember(directory, MakeMember("a", "stock", 4), kHeartbeatPeriod));
+  EXPECT_TRUE(RenewMember(directory, MakeMember("a", "stock", 4),
+                          kFormerLifeSilence + kHeartbeatPeriod));
+  EXPECT_EQ(directory.m_members.at(NodeId("a")).m_entry.m_incarnation, 4U);
+}
+
 TEST(Directory, BoundsItsMembers) {
   Directory directory = MakeDirectory();
   for (std::size_t i = 0; i < kMaxMembers + 100; ++i) {
--- /dev/null
+++ b/test/hemlockpoint/quarantine/crash_counts_test.cc
@@ -0,0 +1,57 @@
+#include "hemlockpoint/quarantine/crash_counts.h"
+
+#include <gtest/gtest.h>
+
+#include "hemlockpoint/quarantine/quarantine.h"
+
+namespace hemlockpoint {
+namespace {
+
+const Fingerprint kCulprit(1);
+const Fingerprint kBystander(2);
+
+TEST(CrashCounts, ARequestIsRefusedAfterItsThirdCrash) {
+  CrashCounts counts;
+  for (std::uint64_t crash = 1; crash <= kCrashesUntilQuarantine; ++crash) {
+    EXPECT_FALSE(IsQuarantined(counts, kCulprit, Millis(0)));
+    AddCrashes(counts, kCulprit, 1, Millis(0));
+  }
+  EXPECT_TRUE(IsQuarantined(counts, kCulprit, Millis(0)));
+}
+
+// One path that many callers ask for is in flight at most crashes, and has
+// answers in between.
+TEST(CrashCounts, ARequestThatIsAnsweredInBetweenStaysWelcome) {
+  CrashCounts counts;
+  for (int crash = 0; crash < 20; ++crash) {
+    AddCrashes(counts, kBystander, 1, Millis(0));
+    AddCrashes(counts, kCulprit, 1, Millis(0));
+    EXPECT_EQ(ClearCrashes(counts, kBystander), 1U);
+  }
+  EXPECT_FALSE(IsQuarantined(counts, kBystander, Millis(0)));
+  EXPECT_TRUE(IsQuarantined(counts, kCulprit, Millis(0)));
+}
+
+TEST(CrashCounts, SumsOfOtherProcessesNeverLowerACount) {
+  CrashCounts counts;
+  AddCrashes(counts, kCulprit, 2, Millis(0));
+  TakeCrashSum(counts, kCulprit, 1, Millis(0));
+  EXPECT_EQ(CrashesOf(counts, kCulprit, Millis(0)), 2U);
+  TakeCrashSum(counts, kCulprit, 3, Millis(0));
+  EXPECT_TRUE(IsQuarantined(counts, kCulprit, Millis(0)));
+}
+
+TEST(CrashCounts, ExpiresAndIsBounded) {
+  CrashCounts counts;
+  AddCrashes(counts, kCulprit, 1, Millis(0));
+  EXPECT_EQ(CrashesOf(counts, kCulprit, kSuspectFor), 0U);
+  AddCrashes(counts, kCulprit, 1, kSuspectFor);
+  EXPECT_EQ(CrashesOf(counts, kCulprit, kSuspectFor), 1U);
+  for (std::uint64_t i = 0; i < kMaxSuspects * 2; ++i) {
+    AddCrashes(counts, Fingerprint(100 + i), 1, Millis(0));
+  }
+  EXPECT_LE(counts.m_entries.size(), kMaxSuspects);
+}
+
+}  // namespace
+}  // namespace hemlockpoint
