Answer every pipelined request that was taken when a node stops

The first answer after the signal announced that the connection closes, and those behind it were dropped; requests were read behind unanswered ones until the end. Ruled out: the time that calls in flight get (the target had answered 3.2 s before the process ended). Test: HttpServer.AStopAnswersEveryPipelinedRequestThatWasTaken had one answer of two before, and both after.

--- a/src/hemlockpoint/http/connection.cc
+++ b/src/hemlockpoint/http/connection.cc
@@ -209,8 +209,11 @@
   m_response.result(head.m_status);
   SetFields(m_response, head.m_headers, head.m_content_length);
   // The unread rest of a body would be taken for the next request.
-  m_keep_alive = m_keep_alive && m_parser.is_done() &&
-                 !m_connection->m_close_after_response;
+  // Requests behind this one may be at their targets, so only the last answer
+  // closes the connection.
+  const bool is_last = m_connection->m_next == m_ticket + 1;
+  const bool closes = m_connection->m_close_after_response && is_last;
+  m_keep_alive = m_keep_alive && m_parser.is_done() && !closes;
   m_response.keep_alive(m_keep_alive);
   m_serializer.emplace(m_response);
   return true;
--- a/src/hemlockpoint/http/connection.h
+++ b/src/hemlockpoint/http/connection.h
@@ -18,6 +18,9 @@
 /// @brief Numbers the requests of one connection in their order.
 using Ticket = std::uint64_t;
 
+/// @brief Requests of one connection that are served at the same time.
+inline constexpr std::size_t kMaxPipelined = 32;
+
 /// @brief A connection of an HTTP listener, and the requests that came on it
 /// and are not answered.
 struct HttpConnection {
@@ -36,6 +39,14 @@
   /// @param reusable Whether the connection can carry another response.
   void EndTurn(Ticket ticket, bool reusable);
 
+  /// @brief Whether the next request may be read: several are served at the
+  /// same time, but none is taken behind another once the connection is to
+  /// close, since its answer might come too late.
+  [[nodiscard]] bool may_read() const {
+    const std::size_t most = m_close_after_response ? 1 : kMaxPipelined;
+    return unanswered() < most;
+  }
+
   [[nodiscard]] std::size_t unanswered() const {
     return static_cast<std::size_t>(m_next - m_turn);
   }
--- a/src/hemlockpoint/http/server.cc
+++ b/src/hemlockpoint/http/server.cc
@@ -22,8 +22,6 @@
 
 constexpr Millis kSweepPeriod(500);
 constexpr unsigned kHttp11 = 11;
-// Requests of one connection that are served at the same time.
-constexpr std::size_t kMaxPipelined = 32;
 // Time that a caller has to close its side after the last response.
 constexpr Millis kLingerFor(1000);
 constexpr Millis kLingerPoll(50);
@@ -105,12 +103,18 @@
 
   // Reads a request and starts serving it. Returns whether another can follow.
   bool ReadOne(const std::shared_ptr<HttpConnection>& connection) {
-    connection->m_changed.Wait([&] {
-      return connection->m_closing || connection->unanswered() < kMaxPipelined;
-    });
+    const auto may_go_on = [&] {
+      return connection->m_closing || connection->may_read();
+    };
+    connection->m_changed.Wait(may_go_on);
     if (connection->m_buffer.size() == 0 && !AwaitFirstByte(*connection)) {
       return false;
     }
+    // The stop may have come while the next request was awaited.
+    connection->m_changed.Wait(may_go_on);
+    if (connection->m_closing) {
+      return false;
+    }
     auto exchange = std::make_shared<ServerExchange>(connection, m_limits);
     connection->m_head_deadline = SteadyNow() + m_limits.m_head_timeout;
     const ErrorCode error = exchange->ReadRequestHead();
