Answer requests that have just arrived when a server is drained

Draining closed the acceptor with connections waiting to be accepted, which resets them, and closed kept connections with a request that had arrived but had not been read. The new test fails without the change: the request on the new connection got no answer.

Drain() first accepts what waits, keeps connections on which bytes of a request have arrived, and the stop of a node waits for their answers as for other requests. A connection over the limit is closed with a log line.

The test passes; the pipelining test is unchanged.

--- a/src/hemlockpoint/http/connection.cc
+++ b/src/hemlockpoint/http/connection.cc
@@ -28,6 +28,15 @@
   OnDisconnected();
 }
 
+bool HttpConnection::HasUnansweredRequest() const {
+  if (m_is_disconnected || m_is_closing) {
+    return pending_responses() > 0;
+  }
+  ErrorCode ignored;
+  return pending_responses() > 0 || m_buffer.size() > 0 ||
+         m_socket.available(ignored) > 0;
+}
+
 void HttpConnection::OnDisconnected() {
   m_is_disconnected = true;
   auto callbacks = std::move(m_disconnect_callbacks);
--- a/src/hemlockpoint/http/connection.h
+++ b/src/hemlockpoint/http/connection.h
@@ -29,6 +29,10 @@
 
   void Close();
 
+  /// @return Whether bytes of a request have arrived that has no complete
+  /// response yet.
+  [[nodiscard]] bool HasUnansweredRequest() const;
+
   /// @brief Records that either side has closed the connection, or that reading
   /// from it failed, and calls the disconnect callbacks of all requests.
   void OnDisconnected();
--- a/src/hemlockpoint/http/server.cc
+++ b/src/hemlockpoint/http/server.cc
@@ -1,5 +1,6 @@
 #include "hemlockpoint/http/server.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <unordered_set>
@@ -62,18 +63,49 @@
       });
       if (accepted.m_error) {
         PauseAfterAcceptError(accepted.m_error);
-      } else if (m_connections.size() < m_limits.m_connections) {
-        m_connections.insert(connection);
-        connection->m_close_after_response = m_close_after_responses;
-        m_loop.Spawn([self = shared_from_this(), connection] {
-          self->Serve(connection);
-          connection->Close();
-          self->m_connections.erase(connection);
-        });
+      } else {
+        StartServing(connection);
       }
     }
   }
 
+  void StartServing(const std::shared_ptr<HttpConnection>& connection) {
+    if (m_connections.size() >= m_limits.m_connections) {
+      LogLine(LogLevel::kWarning, "connection_rejected")
+          .With("connections",
+                static_cast<std::uint64_t>(m_connections.size()));
+      return;
+    }
+    m_connections.insert(connection);
+    connection->m_close_after_response = m_close_after_responses;
+    m_loop.Spawn([self = shared_from_this(), connection] {
+      self->Serve(connection);
+      connection->Close();
+      self->m_connections.erase(connection);
+    });
+  }
+
+  // Accepts the connections that clients have opened already. Closing the
+  // acceptor would reset them, with requests that are on their way.
+  void AcceptWaiting() {
+    ErrorCode error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+      auto connection = std::make_shared<HttpConnection>(m_loop.io());
+      m_acceptor.accept(connection->m_socket, error);
+      if (!error) {
+        StartServing(connection);
+      }
+    }
+  }
+
+  bool HasUnansweredRequests() const {
+    return std::any_of(m_connections.begin(), m_connections.end(),
+                       [](const auto& connection) {
+                         return connection->HasUnansweredRequest();
+                       });
+  }
+
   // Prevents a busy loop while the process is out of file descriptors.
   void PauseAfterAcceptError(ErrorCode error) const {
     constexpr Millis kPause(20);
@@ -230,11 +262,11 @@
 
   void Drain() {
     CloseAfterResponses();
+    AcceptWaiting();
     ErrorCode ignored;
     m_acceptor.close(ignored);
     for (const auto& connection : m_connections) {
-      if (connection->pending_responses() == 0 &&
-          connection->m_buffer.size() == 0) {
+      if (!connection->HasUnansweredRequest()) {
         connection->Close();
       }
     }
@@ -293,6 +325,10 @@
   m_state->Drain();
 }
 
+bool HttpServer::HasUnansweredRequests() const {
+  return m_state->HasUnansweredRequests();
+}
+
 std::size_t HttpServer::connections() const {
   return m_state->m_connections.size();
 }
--- a/src/hemlockpoint/http/server.h
+++ b/src/hemlockpoint/http/server.h
@@ -102,6 +102,10 @@
   /// after the response to their last pending request.
   void Drain();
 
+  /// @return Whether a client has sent bytes of a request, read or not, that
+  /// has no complete response yet.
+  [[nodiscard]] bool HasUnansweredRequests() const;
+
   /// @return Number of open connections.
   [[nodiscard]] std::size_t connections() const;
 
--- a/src/hemlockpoint/relay/relay_node.cc
+++ b/src/hemlockpoint/relay/relay_node.cc
@@ -371,7 +371,8 @@
   }
 
   bool HasCallsInFlight() const {
-    return m_context.m_entry_calls > 0 || m_dispatcher.calls() > 0;
+    return m_context.m_entry_calls > 0 || m_dispatcher.calls() > 0 ||
+           m_http.HasUnansweredRequests();
   }
 
   void AwaitIdle(Millis drain_deadline) const {
--- a/test/hemlockpoint/http/server_test.cc
+++ b/test/hemlockpoint/http/server_test.cc
@@ -87,5 +87,75 @@
   EXPECT_LT(responses.find("/first"), responses.find("/second"));
 }
 
+// A client's connection to the server, used without blocking the loop.
+class RawClient {
+ public:
+  RawClient() : m_socket(m_io) {
+    m_socket.connect({asio::ip::make_address(kServerEndpoint.m_address),
+                      kServerEndpoint.m_port});
+  }
+
+  void Send(const std::string& bytes) {
+    asio::write(m_socket, asio::buffer(bytes));
+  }
+
+  std::string ReceiveAll() {
+    std::string response;
+    boost::system::error_code error;
+    asio::read(m_socket, asio::dynamic_buffer(response), error);
+    return response;
+  }
+
+ private:
+  asio::io_context m_io;
+  tcp::socket m_socket;
+};
+
+// The load: requests keep arriving while the server is stopped. One is on a
+// connection that the server hasn't accepted yet, one on a kept connection that
+// it hasn't read from, and of one only a part of the head has arrived.
+TEST(HttpServer, DrainAnswersRequestsThatHaveJustArrived) {
+  FiberLoop loop;
+  HttpServer server(loop, HttpServerLimits(), [&](HttpExchange& exchange) {
+    HttpResponseHead head;
+    head.m_status = 200;
+    (void)exchange.Respond(head, exchange.head().m_path);
+  });
+  ASSERT_FALSE(server.Listen(kServerEndpoint));
+  std::string kept_response;
+  std::string partial_response;
+  std::string new_response;
+  loop.Spawn([&] {
+    RawClient kept;
+    RawClient partial;
+    // Until the server has accepted both.
+    while (server.connections() < 2) {
+      SleepFor(Millis(5));
+    }
+    SleepFor(Millis(20));
+    // Nothing below runs the loop before the server is drained.
+    kept.Send("GET /kept HTTP/1.1\r\nHost: a\r\n\r\n");
+    partial.Send("GET /partial HTTP/1.1\r\nHo");
+    RawClient fresh;
+    fresh.Send("GET /new HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_TRUE(server.HasUnansweredRequests());
+    server.Drain();
+    SleepFor(Millis(20));
+    partial.Send("st: a\r\n\r\n");
+    while (server.HasUnansweredRequests()) {
+      SleepFor(Millis(5));
+    }
+    kept_response = kept.ReceiveAll();
+    partial_response = partial.ReceiveAll();
+    new_response = fresh.ReceiveAll();
+    loop.Stop();
+  });
+  loop.Run();
+  EXPECT_NE(kept_response.find("/kept"), std::string::npos) << kept_response;
+  EXPECT_NE(partial_response.find("/partial"), std::string::npos)
+      << partial_response;
+  EXPECT_NE(new_response.find("/new"), std::string::npos) << new_response;
+}
+
 }  // namespace
 }  // namespace hemlockpoint
