Take a Content-Length that is no number as unknown

A header field of a response from another node was read with std::stoull, which throws on anything else and ends the process.

--- a/src/hemlockpoint/http/heads.cc
+++ b/src/hemlockpoint/http/heads.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace hemlockpoint {
 
@@ -35,6 +36,20 @@
   return std::nullopt;
 }
 
+std::optional<std::uint64_t> ContentLengthOf(const HeaderFields& headers) {
+  const auto text = FindHeader(headers, "Content-Length");
+  if (!text) {
+    return std::nullopt;
+  }
+  std::uint64_t length = 0;
+  const char* end = text->data() + text->size();
+  const auto [parsed_end, error] = std::from_chars(text->data(), end, length);
+  if (error != std::errc() || parsed_end != end) {
+    return std::nullopt;
+  }
+  return length;
+}
+
 bool IsHopByHop(std::string_view name) {
   return std::any_of(
       kUnforwardedFields.begin(), kUnforwardedFields.end(),
--- a/src/hemlockpoint/http/heads.h
+++ b/src/hemlockpoint/http/heads.h
@@ -34,6 +34,11 @@
     const HeaderFields& headers,
     std::string_view name);
 
+/// @return The length that a Content-Length field states, or nullopt if there
+/// is none or its value is not a number.
+[[nodiscard]] std::optional<std::uint64_t> ContentLengthOf(
+    const HeaderFields& headers);
+
 /// @return Whether a field concerns a single connection (RFC 9110, section
 /// 7.6.1) or the message framing, and must not be forwarded.
 [[nodiscard]] bool IsHopByHop(std::string_view name);
--- a/src/hemlockpoint/node/entry_service.cc
+++ b/src/hemlockpoint/node/entry_service.cc
@@ -16,14 +16,6 @@
 constexpr Millis kMinRetryAfter(50);
 constexpr const char* kParentCallSignal = "parent_call";
 
-std::optional<std::uint64_t> ContentLengthOf(const ResponseStart& response) {
-  const auto text = FindHeader(response.m_headers, "Content-Length");
-  if (!text) {
-    return std::nullopt;
-  }
-  return std::stoull(std::string(*text));
-}
-
 }  // namespace
 
 EntryService::EntryService(
@@ -151,7 +143,7 @@
   ResponseStart& response = *progress.m_response;
   HttpResponseHead head;
   head.m_status = static_cast<unsigned>(response.m_status);
-  head.m_content_length = ContentLengthOf(response);
+  head.m_content_length = ContentLengthOf(response.m_headers);
   head.m_headers = MakeResponseHeaders(
       response.m_headers, progress.m_call.m_root, progress.m_attempts);
   if (response.m_is_replayed) {
