Keep a target's first report when another writer's entry follows it

Cause, found when reading the change: an announcement of another service replaced the report that waits for its health check.

Only reports of the node's own target wait for a check; the tests of restarted nodes send such an entry after each report.

--- a/src/hemlockpoint/relay/slot_dispatcher.cc
+++ b/src/hemlockpoint/relay/slot_dispatcher.cc
@@ -57,7 +57,12 @@
         .With("born", report.m_started_unix_ms);
     return;
   }
-  const bool needs_confirmation = !m_has_known_target && !report.m_draining;
+  const TargetSettings& place = m_context.m_settings.m_target;
+  // An entry of another writer must not replace the target's own report.
+  const bool is_of_target = report.m_service == place.m_service &&
+                            report.m_endpoint == place.m_endpoint;
+  const bool needs_confirmation =
+      is_of_target && !m_has_known_target && !report.m_draining;
   if (needs_confirmation) {
     m_unconfirmed_report = report;
     ConfirmReport();
--- a/src/hemlockpoint/relay/slot_dispatcher.h
+++ b/src/hemlockpoint/relay/slot_dispatcher.h
@@ -74,6 +74,11 @@
   [[nodiscard]] double failure_rate() const { return m_failure_rate; }
 
  private:
+  struct HealthResponse {
+    unsigned m_status = 0;
+    ResponseMetadata m_metadata;
+  };
+
   std::optional<Refusal> CheckAdmission(const DispatchSession& session) const;
   bool ReceiveBody(DispatchSession& session);
   void GrantFreeSlots();
@@ -88,12 +93,6 @@
   void Refuse(DispatchSession& session, Refusal refusal);
   LoadReport MakeLoadReport() const;
   void ForgetTarget(const char* reason);
-
-  /// Response to a health check.
-  struct HealthResponse {
-    unsigned m_status = 0;
-    ResponseMetadata m_metadata;
-  };
   void UseTargetReport(const TargetReport& report);
   void ConfirmReport();
   std::optional<HealthResponse> QueryHealth();
--- a/test/platform/target_exchange_test.cc
+++ b/test/platform/target_exchange_test.cc
@@ -359,6 +359,10 @@
       for (unsigned i = 0; i < reports; ++i) {
         ++report.m_sequence;
         m_dispatcher.HandleTargetReport(report);
+        // An entry of another writer.
+        TargetReport other = report;
+        other.m_service = ServiceName("other");
+        m_dispatcher.HandleTargetReport(other);
         // Long enough for a health check on the loopback interface.
         SleepFor(Millis(100));
       }
