--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,90 +1,129 @@
-"""A client sends a long header field, within the config's limits."""
+"""Nodes are stopped and started in turn, and so is the control host that leads."""
 import asyncio
 import os
+import random
+import signal
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 import rig as r
 
-MAX_HEADER_BYTES = 131072
-FIELD_BYTES = 80000
-ROUNDS = 4
-KEPT_CONNECTIONS = 4
+ROUNDS = 13
+LAST_START_S = 94
+IN_TURN = 3           # steps of a round, two machines a step (two rolls at once)
+GAP_S = 1.0
+WORK_S = 3.5
+REQUESTS = 4          # in flight at each machine when it gets SIGTERM
+RESTART_DELAY_S = 0.5
+LAST_SIXTH_S = r.BOUNDS["grace_s"] * 5 / 6
 
 
-async def ask(reader, writer, number, record, entry):
-    """One request on a kept connection. Returns the status, or what ended it."""
-    request_id = f"{number:08x}cc"
-    sent = record.now()
+async def ask(entry, request_id, record, results, machine):
+    result = {"id": request_id, "machine": machine.name, "sent": time.monotonic(), "status": None,
+              "sealed": False, "ended": None}
+    results.append(result)
     try:
-        writer.write(r.encode(f"GET /count/{number} HTTP/1.1", {
-            "Host": "count.example", "X-Request-Id": request_id, "X-Deadline-Ms": "4000"}))
-        message = await asyncio.wait_for(r.read_message(reader), 4.5)
-        status = message.status if message else "closed without an answer"
+        reader, writer = await r.connect(entry)
+        writer.write(r.encode("GET /count/ HTTP/1.1", {
+            "Host": "count.example", "X-Request-Id": request_id, "X-Deadline-Ms": "8000"}))
+        message = await asyncio.wait_for(r.read_message(reader), 9)
+        result["status"] = message.status if message else "closed without an answer"
+        result["sealed"] = bool(message) and "x-server-seal" in message.fields
+        writer.close()
     except (r.Broken, OSError) as error:
-        status = f"closed without an answer: {error}"
+        result["status"] = f"closed without an answer: {error}"
     except asyncio.TimeoutError:
-        status = "no answer"
-    record.add("request", id=request_id, entry=entry, sent=round(sent, 4), status=status)
-    return request_id, status
+        result["status"] = "no answer"
+    result["ended"] = time.monotonic()
+    record.add("request", id=request_id, entry=machine.name, status=result["status"],
+               sealed=result["sealed"], sent=round(result["sent"] - record.started, 4))
+
+
+async def find_leader(rig):
+    """The control host that answers the operator without a redirect."""
+    for _ in range(100):
+        for machine in rig.controls:
+            try:
+                response = await r.call(machine.address("control"), "GET", "/hemlockpoint/config")
+                if response.status == 200:
+                    return machine
+            except r.Broken:
+                pass
+        await asyncio.sleep(0.1)
+    return None
+
+
+async def stop_and_start(machine, record):
+    stopped_at = time.monotonic()
+    machine.send_signal(signal.SIGTERM)
+    record.add("sigterm", machine=machine.name)
+    while machine.is_alive() and time.monotonic() - stopped_at < r.BOUNDS["grace_s"]:
+        await asyncio.sleep(0.01)
+    machine.kill()
+    record.add("ended", machine=machine.name, after_s=round(time.monotonic() - stopped_at, 3))
+    await asyncio.sleep(RESTART_DELAY_S)
+    machine.start()
 
 
 async def case(make_rig, record, trouble):
-    rig = make_rig({"stock": 3, "gate": 1})
+    rig = make_rig({"stock": 3, "gate": 12})
+    began = {}
 
     async def work(request):
-        await asyncio.sleep(0.5)
+        began[request.fields["x-request-id"]] = time.monotonic()
+        await asyncio.sleep(WORK_S)
         return b"sacks"
 
-    await r.start_system(rig, record, {"stock": {"work": work}})
-    limits = {"max_header_bytes": MAX_HEADER_BYTES, "max_body_bytes": 67108864,
-              "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
-    config = r.make_config(1, [r.make_route("r-count", "count.example", "/count/", "safe",
-                                            "stock")], ["stock", "gate"], limits)
+    await r.start_system(rig, record, {"stock": {"work": work, "slots": 142}})
+    config = r.make_config(1, [r.make_route("r-count", "count.example", "/count/", "safe", "stock",
+                                            8000, max_attempts=1)], ["stock", "gate"])
     if await r.put_config(rig, config, 0) != 200 or not await r.await_ready(rig):
         return r.CANNOT_RUN
     await asyncio.sleep(5)
-    gate = rig.of("gate")[0]
-    entry = gate.address("outbound")
-    results, ended, number = [], 0, 0
-    for _ in range(ROUNDS):
-        while not await r.is_ready(gate):
-            await asyncio.sleep(0.1)
+    record.say("the system is ready")
+    results, cut, number = [], [], 0
+    gates = rig.of("gate")
+    for round_number in range(ROUNDS):
+        if record.now() > LAST_START_S:
+            break
+        leader = await find_leader(rig)
+        if leader is None:
+            return r.CANNOT_RUN
+        tasks, rolls, stopped = [], [], {}
+        for step in range(IN_TURN):
+            pair = [gates[(round_number * 2 * IN_TURN + 2 * step + i) % len(gates)]
+                    for i in range(2)]
+            for machine in pair:
+                for _ in range(REQUESTS):
+                    number += 1
+                    tasks.append(asyncio.create_task(ask(
+                        machine.address("outbound"), f"{number:08x}ff", record, results, machine)))
+            pauses = sorted(random.uniform(0.05, 0.55) for _ in pair)
+            for machine, pause, before in zip(pair, pauses, [0.0] + pauses):
+                await asyncio.sleep(pause - before)
+                stopped[machine.name] = time.monotonic()
+                rolls.append(asyncio.create_task(stop_and_start(machine, record)))
+            await asyncio.sleep(GAP_S - pauses[-1])
+        if trouble:
+            record.add("leader", machine=leader.name)
+            rolls.append(asyncio.create_task(stop_and_start(leader, record)))
+        first = len(results) - len(tasks)
+        await asyncio.gather(*tasks)
+        await asyncio.gather(*rolls)
+        lost = [x for x in results[first:]
+                if not x["sealed"] and x["id"] in began
+                and x["ended"] - stopped[x["machine"]] < LAST_SIXTH_S
+                and x["ended"] - began[x["id"]] < WORK_S]
+        cut += lost
+        record.say(f"round {round_number}: {leader.name} led; {len(tasks)} requests at machines "
+                   f"that got SIGTERM, {len(lost)} given up while their server was at work: "
+                   f"{sorted({(x['machine'], x['status']) for x in lost})}")
+        if not await r.await_ready(rig):
+            return r.CANNOT_RUN
         await asyncio.sleep(1.5)
-        kept = [await r.connect(entry) for _ in range(KEPT_CONNECTIONS)]
-        asks = []
-        for reader, writer in kept:
-            number += 1
-            asks.append(asyncio.create_task(ask(reader, writer, number, record, entry)))
-        await asyncio.sleep(0.25)
-        number += 1
-        reader, writer = await r.connect(entry)
-        size = FIELD_BYTES if trouble else 200
-        writer.write(r.encode(f"GET /count/{number} HTTP/1.1", {
-            "Host": "count.example", "X-Request-Id": f"{number:08x}cc", "X-Deadline-Ms": "4000",
-            "Cookie": "c" * size}))
-        try:
-            message = await asyncio.wait_for(r.read_message(reader), 4.5)
-            status = message.status if message else "closed without an answer"
-        except (r.Broken, OSError, asyncio.TimeoutError) as error:
-            status = f"no answer: {error}"
-        record.say(f"a request with a field of {size} bytes: {status}")
-        results += await asyncio.gather(*asks)
-        for _, writer in kept:
-            writer.close()
-        await asyncio.sleep(0.2)
-        if not gate.is_alive():
-            ended += 1
-            record.say(f"the process of {gate.name} has ended by itself, "
-                       f"status {gate.process.returncode}")
-            gate.start()
-    ran = {request_id for server in rig.servers.values() for _, request_id in server.ran}
-    cut = [request_id for request_id, status in results if status != 200 and request_id in ran]
-    record.say(f"{len(results)} other requests on kept connections; {len(cut)} were passed on to a "
-               f"sound server and their connection closed without an answer; the process ended "
-               f"by itself {ended} times")
-    return r.BROKEN if len(cut) > 3 else r.HELD
+    record.say(f"{len(results)} requests, {len(cut)} given up while their server was at work")
+    return r.BROKEN if cut else r.HELD
 
 
 r.run_case(os.path.dirname(os.path.abspath(__file__)), case)
