Log full member lists and the links that directory changes close

Callers got 502 for calls in flight when the leader of the control group was stopped. The logs showed neither what a new leader sends to nodes nor why a node closes a link, so the possible causes (a link that fails, a node that stops, a directory that lists too few members) could not be told apart.

members_sent: a leader has sent a node all members of its services, with their number and the age of the directory. member_link_closed: a node has closed the link to a member, with the directory that caused it and the calls that were in progress on the link.

--- a/src/hemlockpoint/control/control_service.cc
+++ b/src/hemlockpoint/control/control_service.cc
@@ -269,8 +269,16 @@
 void ControlService::PushDirectory(LinkId link, NodeState& node, Millis now) {
   const DirectoryDelta delta =
       CollectDelta(node.m_subscriber, m_directory, now);
-  if (!delta.m_services.empty()) {
-    m_links.Send(link, delta);
+  if (delta.m_services.empty()) {
+    return;
+  }
+  m_links.Send(link, delta);
+  if (delta.m_is_full) {
+    LogLine(LogLevel::kInfo, "members_sent")
+        .With("node", node.m_node_id.value())
+        .With("members", static_cast<std::uint64_t>(delta.m_changed.size()))
+        .With("directory", m_directory.m_origin)
+        .With("age_ms", (now - m_directory.m_started).value());
   }
 }
 
--- a/src/hemlockpoint/node/membership_client.cc
+++ b/src/hemlockpoint/node/membership_client.cc
@@ -112,6 +112,13 @@
   for (const std::string& peer : m_hooks.m_apply_delta(delta)) {
     const Result<Endpoint> endpoint = ParseEndpoint(peer);
     if (endpoint) {
+      LogLine(LogLevel::kInfo, "member_link_closed")
+          .With("peer", peer)
+          .With("calls",
+                static_cast<std::uint64_t>(m_links.CallsTo(*endpoint)))
+          .With("directory", delta.m_origin)
+          .With("version", delta.m_version)
+          .With("full", delta.m_is_full ? "yes" : "no");
       m_links.CloseTo(*endpoint);
     }
   }
--- a/src/hemlockpoint/transport/link_manager.cc
+++ b/src/hemlockpoint/transport/link_manager.cc
@@ -141,6 +141,13 @@
   return m_state->m_counters;
 }
 
+std::size_t LinkManager::CallsTo(const Endpoint& endpoint) const {
+  const auto found = m_state->m_by_endpoint.find(endpoint);
+  return found == m_state->m_by_endpoint.end()
+             ? 0
+             : m_state->m_links.at(found->second).m_calls.size();
+}
+
 std::size_t LinkManager::calls() const {
   return m_state->m_calls;
 }
--- a/src/hemlockpoint/transport/link_manager.h
+++ b/src/hemlockpoint/transport/link_manager.h
@@ -100,6 +100,8 @@
   void Shutdown();
 
   [[nodiscard]] const LinkCounters& counters() const;
+  /// @return Number of calls in progress on the link to an endpoint.
+  [[nodiscard]] std::size_t CallsTo(const Endpoint& endpoint) const;
   /// @return Number of calls in progress over all links.
   [[nodiscard]] std::size_t calls() const;
   /// @return Number of links, established or not.
