Start a new leader's member directory before its first use

Cause: the leader set up its directory in a periodic task, up to 100 ms after its election. Heartbeats in between were entered into the directory of a host that had never led, or of an earlier leadership. That one counted as warmed up, so the node got a full list of the one to four members that had reported in these milliseconds, removed all others and closed the links to them.

Evidence: members_sent with an empty directory name, 1 to 4 members and the uptime as age, 8 to 45 ms before leadership_won; member_link_closed with calls=4 and full=yes at the same millisecond; then request_refused with link_lost for exactly these calls. Ruled out: silent links (no peer_silent), stopped target nodes (they were running), full lists after the warm-up (all named 15 members).

Change: the directory of a term is started before it is used, on a heartbeat as well as in the task; a second election between two runs of the task starts a new one too. A directory that wasn't started sends nothing.

--- a/src/hemlockpoint/control/control_service.cc
+++ b/src/hemlockpoint/control/control_service.cc
@@ -135,6 +135,7 @@
 }
 
 void ControlService::Handle(LinkId link, const Heartbeat& heartbeat) {
+  FollowLeadership();
   const Millis now = SteadyNow();
   HeartbeatAck ack = MakeAck(now);
   // The leader sends the list of control hosts with the first ack to a node.
@@ -219,7 +220,7 @@
 
 void ControlService::Tick() {
   const Millis now = SteadyNow();
-  HandleRoleChange();
+  FollowLeadership();
   ResendGroupInit(now);
   if (!m_group.is_leader()) {
     return;
@@ -249,21 +250,24 @@
 }
 
 // The directory is not replicated. A new leader starts with an empty one, and a
-// host that loses the leadership discards its directory.
-void ControlService::HandleRoleChange() {
-  const bool is_leader = m_group.is_leader();
-  if (is_leader == m_was_leader) {
+// host that loses the leadership discards its directory. Called before each use
+// of the directory, because an election may end between two ticks.
+void ControlService::FollowLeadership() {
+  const std::uint64_t term = m_group.raft().m_hard.m_term;
+  const auto leading_term =
+      m_group.is_leader() ? std::optional(term) : std::nullopt;
+  if (leading_term == m_leading_term) {
     return;
   }
-  m_was_leader = is_leader;
+  m_leading_term = leading_term;
   m_nodes.clear();
   m_absent_since.clear();
-  m_directory = Directory();
-  m_directory.m_started = SteadyNow();
-  m_directory.m_origin = m_settings.m_node.value() + "-" +
-                         std::to_string(m_group.raft().m_hard.m_term);
-  LogLine(LogLevel::kInfo, is_leader ? "leadership_won" : "leadership_lost")
-      .With("term", m_group.raft().m_hard.m_term);
+  m_directory = leading_term ? StartDirectory(m_settings.m_node.value() + "-" +
+                                                  std::to_string(term),
+                                              SteadyNow())
+                             : Directory();
+  LogLine(LogLevel::kInfo, leading_term ? "leadership_won" : "leadership_lost")
+      .With("term", term);
 }
 
 void ControlService::PushDirectory(LinkId link, NodeState& node, Millis now) {
@@ -278,7 +282,7 @@
         .With("node", node.m_node_id.value())
         .With("members", static_cast<std::uint64_t>(delta.m_changed.size()))
         .With("directory", m_directory.m_origin)
-        .With("age_ms", (now - m_directory.m_started).value());
+        .With("age_ms", (now - *m_directory.m_started).value());
   }
 }
 
@@ -386,7 +390,7 @@
 
 // Assigns claim replicas to each service, and replaces those absent for long.
 void ControlService::PlanClaims(Millis now) {
-  if (now - m_directory.m_started < kDirectoryWarmUp) {
+  if (!HasWarmedUp(m_directory, now)) {
     return;
   }
   std::vector<ReplicaCandidate> alive;
--- a/src/hemlockpoint/control/control_service.h
+++ b/src/hemlockpoint/control/control_service.h
@@ -117,7 +117,7 @@
   };
 
   void Tick();
-  void HandleRoleChange();
+  void FollowLeadership();
   void PushDirectory(LinkId link, NodeState& node, Millis now);
   void PushPolicy(LinkId link, NodeState& node, Millis now);
   void PushClaimSets(LinkId link, NodeState& node);
@@ -143,7 +143,8 @@
   /// Used in route mode only: the crashes reported by all nodes.
   CrashCounts m_crash_counts;
   std::map<LinkId, NodeState> m_nodes;
-  bool m_was_leader = false;
+  /// Term for which m_directory was started; empty while not the leader.
+  std::optional<std::uint64_t> m_leading_term;
   std::uint64_t m_claim_sets_version = 1;
   std::map<NodeId, Millis> m_absent_since;
   Millis m_next_claim_plan_at;
--- a/src/hemlockpoint/membership/directory.cc
+++ b/src/hemlockpoint/membership/directory.cc
@@ -1,5 +1,7 @@
 #include "hemlockpoint/membership/directory.h"
 
+#include <utility>
+
 namespace hemlockpoint {
 
 namespace {
@@ -19,6 +21,17 @@
 
 }  // namespace
 
+Directory StartDirectory(std::string origin, Millis now) {
+  Directory directory;
+  directory.m_origin = std::move(origin);
+  directory.m_started = now;
+  return directory;
+}
+
+bool HasWarmedUp(const Directory& directory, Millis now) {
+  return directory.m_started && now - *directory.m_started >= kDirectoryWarmUp;
+}
+
 bool RenewMember(Directory& directory, const MemberEntry& entry, Millis now) {
   const auto found = directory.m_members.find(entry.m_node);
   if (found == directory.m_members.end() &&
@@ -84,10 +97,11 @@
                             const Directory& directory,
                             Millis now) {
   DirectoryDelta delta;
-  const bool has_warmed_up = now - directory.m_started >= kDirectoryWarmUp;
-  const bool send_full = has_warmed_up && !subscriber.m_has_full_state;
+  const bool send_full =
+      HasWarmedUp(directory, now) && !subscriber.m_has_full_state;
   const bool has_unsent_changes = subscriber.m_version < directory.m_version;
-  if (subscriber.m_interests.empty() || (!send_full && !has_unsent_changes)) {
+  if (!directory.m_started || subscriber.m_interests.empty() ||
+      (!send_full && !has_unsent_changes)) {
     return delta;
   }
   delta.m_origin = directory.m_origin;
--- a/src/hemlockpoint/membership/directory.h
+++ b/src/hemlockpoint/membership/directory.h
@@ -2,6 +2,7 @@
 #define HEMLOCKPOINT_MEMBERSHIP_DIRECTORY_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -45,11 +46,18 @@
   /// leader.
   std::string m_origin;
   std::uint64_t m_version = 0;
-  /// Time at which the leader started to collect heartbeats.
-  Millis m_started;
+  /// Time at which the leader started to collect heartbeats. Without it, the
+  /// directory sends nothing to subscribers.
+  std::optional<Millis> m_started;
   std::map<NodeId, DirectoryMember> m_members;
 };
 
+/// @brief Creates the empty directory of a new leader.
+[[nodiscard]] Directory StartDirectory(std::string origin, Millis now);
+
+/// @return Whether the directory has received a heartbeat of every live node.
+[[nodiscard]] bool HasWarmedUp(const Directory& directory, Millis now);
+
 /// @brief What a node has subscribed to and has been sent.
 struct Subscriber {
   /// Services whose members the node needs.
--- a/src/hemlockpoint/node/membership_client.cc
+++ b/src/hemlockpoint/node/membership_client.cc
@@ -114,8 +114,7 @@
     if (endpoint) {
       LogLine(LogLevel::kInfo, "member_link_closed")
           .With("peer", peer)
-          .With("calls",
-                static_cast<std::uint64_t>(m_links.CallsTo(*endpoint)))
+          .With("calls", static_cast<std::uint64_t>(m_links.CallsTo(*endpoint)))
           .With("directory", delta.m_origin)
           .With("version", delta.m_version)
           .With("full", delta.m_is_full ? "yes" : "no");
--- a/test/hemlockpoint/membership/directory_test.cc
+++ b/test/hemlockpoint/membership/directory_test.cc
@@ -28,10 +28,8 @@
 }
 
 Directory MakeDirectory() {
-  Directory directory;
   // Any origin will do, since MakeSubscription() repeats it.
-  directory.m_origin = "c1-1";
-  return directory;
+  return StartDirectory("c1-1", Millis(0));
 }
 
 TEST(Directory, SendsOnlyMembersOfSubscribedServices) {
@@ -83,7 +81,6 @@
 
 TEST(Directory, SendsNoFullStateDuringWarmUp) {
   Directory directory = MakeDirectory();
-  directory.m_started = Millis(0);
   RenewMember(directory, MakeMember("a"), Millis(10));
   Subscriber subscriber;
   UpdateInterests(subscriber, directory, MakeSubscription(directory, kStock));
@@ -95,6 +92,18 @@
   EXPECT_EQ(delta.m_changed.size(), 2U);
 }
 
+// A host that has just become the leader may receive heartbeats before it has
+// set up its directory. A full delta of the few nodes that it knows would make
+// their peers drop all others.
+TEST(Directory, SendsNothingBeforeItIsStarted) {
+  Directory directory;
+  RenewMember(directory, MakeMember("a"), kAfterWarmUp);
+  Subscriber subscriber;
+  UpdateInterests(subscriber, directory, MakeSubscription(directory, kStock));
+  EXPECT_TRUE(
+      CollectDelta(subscriber, directory, kAfterWarmUp).m_services.empty());
+}
+
 TEST(Directory, IgnoresHeartbeatOfLowerIncarnation) {
   Directory directory = MakeDirectory();
   RenewMember(directory, MakeMember("a", "stock", 5), Millis(0));
