Keep calls running at nodes that the directory drops

A caller got 502 for a call in progress when the member directory dropped the node of its target, or when the caller's node looked for a leader at a control host that is a node too. The directory only says which nodes report to the leader; a node that can't reach it for 2.5 s may be at work. This is what turned an incomplete list of a new leader into lost calls.

Such a link is now retired: no further calls, other messages are ignored, and it closes after its last call.

--- a/src/hemlockpoint/node/membership_client.cc
+++ b/src/hemlockpoint/node/membership_client.cc
@@ -77,7 +77,7 @@
 }
 
 void MembershipClient::FailOverToNextHost() {
-  m_links.CloseTo(m_hosts.m_current);
+  m_links.RetireLinkTo(m_hosts.m_current);
   SelectNextHost(m_hosts, SteadyNow());
   LogLine(LogLevel::kInfo, "control_host_tried")
       .With("peer", ToText(m_hosts.m_current));
@@ -112,13 +112,13 @@
   for (const std::string& peer : m_hooks.m_apply_delta(delta)) {
     const Result<Endpoint> endpoint = ParseEndpoint(peer);
     if (endpoint) {
-      LogLine(LogLevel::kInfo, "member_link_closed")
+      LogLine(LogLevel::kInfo, "member_link_retired")
           .With("peer", peer)
           .With("calls", static_cast<std::uint64_t>(m_links.CallsTo(*endpoint)))
           .With("directory", delta.m_origin)
           .With("version", delta.m_version)
           .With("full", delta.m_is_full ? "yes" : "no");
-      m_links.CloseTo(*endpoint);
+      m_links.RetireLinkTo(*endpoint);
     }
   }
   m_origin = delta.m_origin;
--- a/src/hemlockpoint/transport/link_manager.cc
+++ b/src/hemlockpoint/transport/link_manager.cc
@@ -24,7 +24,7 @@
   loop.SpawnPeriodic(internal::kHandshakeTimeout,
                      [state = m_state.get()] { state->CloseUnestablished(); });
   loop.SpawnPeriodic(internal::kLivenessCheckPeriod,
-                     [state = m_state.get()] { state->CheckLiveness(); });
+                     [state = m_state.get()] { state->CheckLinks(); });
 }
 
 LinkManager::~LinkManager() = default;
@@ -119,6 +119,20 @@
   }
 }
 
+void LinkManager::RetireLinkTo(const Endpoint& endpoint) {
+  const auto found = m_state->m_by_endpoint.find(endpoint);
+  if (found == m_state->m_by_endpoint.end()) {
+    return;
+  }
+  internal::LinkInfo& link = m_state->m_links.at(found->second);
+  if (link.m_calls.empty()) {
+    CloseTo(endpoint);
+    return;
+  }
+  link.m_is_retired = true;
+  m_state->m_by_endpoint.erase(found);
+}
+
 std::vector<Endpoint> LinkManager::SilentPeers() const {
   const Millis now = SteadyNow();
   std::vector<Endpoint> peers;
--- a/src/hemlockpoint/transport/link_manager.h
+++ b/src/hemlockpoint/transport/link_manager.h
@@ -89,8 +89,10 @@
 
   void Close(LinkId link);
 
-  /// @brief Closes the link to an endpoint. The calls on it are lost.
-  void CloseTo(const Endpoint& endpoint);
+  /// @brief Closes the link to an endpoint once the calls on it have ended. It
+  /// is used for no further calls, and other messages on it are ignored. The
+  /// liveness checks continue, so the calls are lost if the peer is silent.
+  void RetireLinkTo(const Endpoint& endpoint);
 
   /// @return Peers on outbound links that have not replied to a ping for some
   /// time. They may be lost or only slow.
@@ -108,6 +110,9 @@
   [[nodiscard]] std::size_t links() const;
 
  private:
+  /// @brief Closes the link to an endpoint. The calls on it are lost.
+  void CloseTo(const Endpoint& endpoint);
+
   /// @brief Opens a link and sends the messages queued for its endpoint, or
   /// drops them if the link is not established in time.
   void FlushOutbox(const Endpoint& endpoint);
--- a/src/hemlockpoint/transport/link_state.h
+++ b/src/hemlockpoint/transport/link_state.h
@@ -48,6 +48,8 @@
   bool m_is_inbound = false;
   /// The peer's Hello has arrived and was accepted.
   bool m_is_established = false;
+  /// The link is closed once its calls have ended.
+  bool m_is_retired = false;
   NodeId m_peer;
   Endpoint m_endpoint;
   CallTable m_calls;
@@ -220,6 +222,9 @@
 
   template <typename Other>
   void Handle(LinkId id, LinkInfo& link, Other& message) {
+    if (link.m_is_retired) {
+      return;
+    }
     m_callbacks.m_message(id, link.m_peer, Message(std::move(message)));
   }
 
@@ -317,8 +322,9 @@
   }
 
   // Pings idle peers on outbound links and closes links whose peer does not
-  // reply. A broken connection may report no error.
-  void CheckLiveness() {
+  // reply. A broken connection may report no error. Also closes retired links
+  // without calls.
+  void CheckLinks() {
     const Millis now = SteadyNow();
     // After a stall of this process, messages that arrived meanwhile are still
     // unread, so the idle times say nothing about the peers.
@@ -326,10 +332,15 @@
         now - m_last_liveness_check > internal::kStallThreshold;
     m_last_liveness_check = now;
     std::vector<LinkId> dead;
+    std::vector<LinkId> unused;
     for (auto& [id, link] : m_links) {
       if (!link.m_is_established || link.m_is_inbound) {
         continue;
       }
+      if (link.m_is_retired && link.m_calls.empty()) {
+        unused.push_back(id);
+        continue;
+      }
       if (has_stalled) {
         link.m_last_received_at = now;
         link.m_ping_sent_at = Millis(0);
@@ -354,6 +365,10 @@
       m_peer_links.Close(id);
       HandleLinkClosed(id);
     }
+    for (const LinkId id : unused) {
+      m_peer_links.Close(id);
+      HandleLinkClosed(id);
+    }
   }
 
   // Closes links whose peer accepts the connection but sends no Hello.
