Extend the members' leases by a stall of the leader

After its process had been paused for longer than a lease, a leader that had not been replaced told all nodes that all others were gone, before it read the heartbeats that were waiting; nodes then had no targets to call. The same class as the incomplete list of a new leader; shown by a test of the directory, not with processes.

Leases are extended by the time between two expiry checks if that is over 800 ms. Directory.KeepsLiveMembersAfterAStallOfTheLeader failed before.

--- a/src/hemlockpoint/membership/directory.cc
+++ b/src/hemlockpoint/membership/directory.cc
@@ -61,10 +61,16 @@
 }
 
 std::vector<NodeId> ExpireMembers(Directory& directory, Millis now) {
+  // Heartbeats that arrived during a stall of this process are still unread.
+  const Millis since_last = now - directory.m_expired_at.value_or(now);
+  const Millis stall =
+      since_last > kLeaderStallThreshold ? since_last : Millis(0);
+  directory.m_expired_at = now;
   std::vector<NodeId> gone;
   auto entry = directory.m_members.begin();
   while (entry != directory.m_members.end()) {
     DirectoryMember& member = entry->second;
+    member.m_renewed = Min(member.m_renewed + stall, now);
     const Millis silence = now - member.m_renewed;
     if (!member.m_gone && silence > kMemberLease) {
       member.m_gone = true;
--- a/src/hemlockpoint/membership/directory.h
+++ b/src/hemlockpoint/membership/directory.h
@@ -23,6 +23,9 @@
 /// @brief Time after which a new directory has received a heartbeat of every
 /// live node.
 inline constexpr Millis kDirectoryWarmUp(4000);
+/// @brief Time between two calls of ExpireMembers() from which on the leader
+/// counts as stalled. It calls the function every 100 ms.
+inline constexpr Millis kLeaderStallThreshold(800);
 /// @brief How long the directory keeps a member after its last heartbeat, so
 /// that subscribers are told that it is gone.
 inline constexpr Millis kTombstoneRetention(30'000);
@@ -49,6 +52,8 @@
   /// Time at which the leader started to collect heartbeats. Without it, the
   /// directory sends nothing to subscribers.
   std::optional<Millis> m_started;
+  /// Time of the last ExpireMembers().
+  std::optional<Millis> m_expired_at;
   std::map<NodeId, DirectoryMember> m_members;
 };
 
@@ -74,7 +79,8 @@
 bool RenewMember(Directory& directory, const MemberEntry& entry, Millis now);
 
 /// @brief Marks members whose lease has expired as gone, and removes them after
-/// kTombstoneRetention.
+/// kTombstoneRetention. Leases are extended by the time for which the leader
+/// was stalled.
 /// @return The newly gone members.
 std::vector<NodeId> ExpireMembers(Directory& directory, Millis now);
 
--- a/test/hemlockpoint/membership/directory_test.cc
+++ b/test/hemlockpoint/membership/directory_test.cc
@@ -70,6 +70,35 @@
   EXPECT_EQ(ExpireMembers(directory, Millis(3000)).size(), 1U);
 }
 
+// The leader's process was paused for longer than a lease. Heartbeats that came
+// meanwhile are still unread, so the silence says nothing about the nodes.
+TEST(Directory, KeepsLiveMembersAfterAStallOfTheLeader) {
+  Directory directory = MakeDirectory();
+  RenewMember(directory, MakeMember("a"), Millis(0));
+  EXPECT_TRUE(ExpireMembers(directory, Millis(100)).empty());
+  const Millis resumed = Millis(100) + kMemberLease * 2;
+  EXPECT_TRUE(ExpireMembers(directory, resumed).empty());
+  Subscriber subscriber;
+  UpdateInterests(subscriber, directory, MakeSubscription(directory, kStock));
+  EXPECT_EQ(CollectDelta(subscriber, directory, resumed).m_changed.size(), 1U);
+}
+
+// The time of a stall doesn't count, but the silence before and after it does.
+TEST(Directory, MarksMemberGoneThatStaysSilentAfterAStall) {
+  Directory directory = MakeDirectory();
+  RenewMember(directory, MakeMember("a"), Millis(0));
+  EXPECT_TRUE(ExpireMembers(directory, Millis(500)).empty());
+  constexpr Millis kResumed(20'000);
+  std::vector<NodeId> gone;
+  for (Millis now = kResumed; now <= kResumed + kMemberLease;
+       now = now + Millis(100)) {
+    for (const NodeId& node : ExpireMembers(directory, now)) {
+      gone.push_back(node);
+    }
+  }
+  EXPECT_EQ(gone, std::vector<NodeId>{NodeId("a")});
+}
+
 // Four lost heartbeats in a row don't end the lease of a live node; a fifth
 // that is late or lost does. At 1 % loss of each, even without TCP's
 // retransmissions, the probability of four in a row is 1 in 10^8.
