Stop accepting calls early enough in a stop in policy mode

Under steady load, a node in policy mode accepted calls until the end of its drain time, because it closed its listener only once no call was in progress; the calls then in progress were cut. In a scenario with 40 calls a second of 400 ms and a drain time of 4 s, 15 ended as node_lost.

A leaving node now accepts connections only while its own target is at work, whose calls enter there, and for at most half of the drain time. Requests that have arrived but not been read count as in progress.

--- a/src/hemlockpoint/node/node.cc
+++ b/src/hemlockpoint/node/node.cc
@@ -25,6 +25,9 @@
 
 // Time in which the other nodes learn that this node is leaving.
 constexpr Millis kLeavePropagationDelay(500);
+// Share of the drain timeout during which a leaving node may accept new
+// connections; the calls on them have the rest of it to end.
+constexpr double kAcceptShare = 0.5;
 constexpr Millis kDrainPollPeriod(20);
 constexpr Millis kCloseTimeout(1000);
 constexpr Millis kHousekeepingPeriod(1000);
@@ -313,7 +316,8 @@
   }
 
   bool HasCallsInFlight() const {
-    return m_context.m_entry_calls > 0 || m_dispatcher.calls() > 0;
+    return m_context.m_entry_calls > 0 || m_dispatcher.calls() > 0 ||
+           m_http.HasUnansweredRequests();
   }
 
   void DrainAndStop() {
@@ -324,8 +328,12 @@
     m_dispatcher.BeginLeaving();
     m_membership.RequestHeartbeat();
     const Millis drain_deadline = SteadyNow() + m_settings.m_drain_timeout;
-    SleepFor(kLeavePropagationDelay);
-    while (HasCallsInFlight() && SteadyNow() < drain_deadline) {
+    const Millis accept_until =
+        SteadyNow() + m_settings.m_drain_timeout * kAcceptShare;
+    m_http.CloseAfterResponses();
+    SleepFor(Min(kLeavePropagationDelay, accept_until - SteadyNow()));
+    // The calls that the local target makes for its running work enter here.
+    while (m_dispatcher.calls() > 0 && SteadyNow() < accept_until) {
       SleepFor(kDrainPollPeriod);
     }
     m_http.Drain();
--- a/testing/scenario/scenario.py
+++ b/testing/scenario/scenario.py
@@ -90,11 +90,13 @@
         ip = self.address(name)
         hosts = ", ".join(f'{{ name = "{c}", peer = "{self.address(c)}:7001" }}' for c in self.controls)
         domain = name if is_control else self.nodes[name].get("domain", name)
+        drain_timeout = None if is_control else self.nodes[name].get("drain_timeout_ms")
         text = (f'[node]\nname = "{name}"\ngroup = "scenario"\nregion = "r"\nfailure_domain = "{domain}"\n'
                 f'roles = ["{"control" if is_control else "node"}"]\n[listen]\n'
                 + ("" if is_control else f'http = "{ip}:7000"\n')
                 + f'peer = "{ip}:7001"\nadmin = "{ip}:7002"\n[control]\nhosts = [{hosts}]\n'
                 + (f'data_folder = "{self.dir}/{name}"\n' if is_control else "")
+                + (f'[limits]\ndrain_timeout_ms = {drain_timeout}\n' if drain_timeout else "")
                 + '[log]\nlevel = "info"\n')
         path = f"{self.dir}/{name}.toml"
         with open(path, "w") as file:
@@ -122,9 +124,10 @@
         self.controls += plain
 
     def do_node(self, plain, pairs):
-        """node NAME [domain=D] [service=S slots=N ...]: declares a node; with a service, also its fake target."""
+        """node NAME [domain=D] [drain_timeout_ms=T] [service=S slots=N ...]: declares a node; with a service, also its fake target."""
         name = plain[0]
-        self.nodes[name] = {"domain": pairs.pop("domain", name)}
+        self.nodes[name] = {"domain": pairs.pop("domain", name),
+                            "drain_timeout_ms": pairs.pop("drain_timeout_ms", None)}
         if "service" in pairs:
             self.targets[f"{name}.target"] = {"node": name, "options": pairs}
 
