Send a refused request that returns on a new connection

A target that writes an earlier refusal once more made a call end as "not run" while the target ran it, if the client had sent the refused request once more under its former id. A copy before the response to another request, with or without an id, was not taken for that response; tests show both.

Cause: responses are matched by the request's id alone, and the copy bears the right one. A request whose id the target has refused lately now gets a new connection. The test target serves several connections at a time for it.

ACopyOfARefusalIsNotTheAnswerToTheSameRequestSentAgain failed before.

--- a/src/hemlockpoint/dispatch/fwd.h
+++ b/src/hemlockpoint/dispatch/fwd.h
@@ -3,6 +3,7 @@
 
 namespace hemlockpoint {
 
+struct RefusedRequests;
 struct ResponseSizes;
 struct RetryAfterTable;
 struct SlotQueue;
--- a/src/hemlockpoint/http/client.h
+++ b/src/hemlockpoint/http/client.h
@@ -67,7 +67,8 @@
   /// @param timeout Maximum time to connect.
   /// @param max_idle_time Connections that have been idle for longer are not
   /// taken. The server may be closing such a connection, and then it is unknown
-  /// whether it has read the request.
+  /// whether it has read the request. With a negative time, a new connection is
+  /// opened.
   /// @return A call on which nothing has been written, or the error.
   [[nodiscard]] Result<std::unique_ptr<HttpClientCall>> Open(
       Millis timeout,
--- a/src/hemlockpoint/relay/slot_dispatcher.h
+++ b/src/hemlockpoint/relay/slot_dispatcher.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "hemlockpoint/dispatch/refused_requests.h"
 #include "hemlockpoint/dispatch/slot_queue.h"
 #include "hemlockpoint/http/client.h"
 #include "hemlockpoint/relay/context.h"
@@ -80,6 +81,7 @@
   };
 
   std::optional<Refusal> CheckAdmission(const DispatchSession& session) const;
+  Millis MaxConnectionIdleTime(const CallMetadata& metadata) const;
   bool ReceiveBody(DispatchSession& session);
   void GrantFreeSlots();
   void DropWaiting(const std::vector<SlotCall>& calls, Reason reason);
@@ -109,6 +111,7 @@
   /// A health check for m_unconfirmed_report is in progress.
   bool m_is_confirming = false;
   SlotQueue m_queue;
+  RefusedRequests m_refused_requests;
   /// Null until a target is known.
   std::shared_ptr<HttpClientPool> m_pool;
   std::unordered_map<CallId, std::shared_ptr<DispatchSession>> m_sessions;
--- a/src/hemlockpoint/relay/slot_dispatcher_exchange.cc
+++ b/src/hemlockpoint/relay/slot_dispatcher_exchange.cc
@@ -90,14 +90,23 @@
   }
 }
 
+// Maximum idle time of a connection that the call may reuse.
+Millis SlotDispatcher::MaxConnectionIdleTime(
+    const CallMetadata& metadata) const {
+  if (WasRefused(m_refused_requests, metadata.m_root)) {
+    // A copy of the earlier refusal can't arrive on a new connection.
+    return Millis(-1);
+  }
+  return metadata.m_idempotent ? Millis(1e9) : kMaxIdleForNonIdempotent;
+}
+
 std::optional<Refusal> SlotDispatcher::ExchangeWithTarget(
     DispatchSession& session) {
   const CallStart& start = session.m_call.m_start;
-  const Millis longest_idle =
-      start.m_metadata.m_idempotent ? Millis(1e9) : kMaxIdleForNonIdempotent;
   const std::shared_ptr<HttpClientPool> pool = m_pool;
-  auto opened = pool->Open(
-      Min(kConnectTimeout, session.m_deadline - SteadyNow()), longest_idle);
+  auto opened =
+      pool->Open(Min(kConnectTimeout, session.m_deadline - SteadyNow()),
+                 MaxConnectionIdleTime(start.m_metadata));
   if (!opened) {
     m_unreachable_until = SteadyNow() + kUnreachablePause;
     Refusal refusal =
@@ -202,6 +211,7 @@
                                         : Reason::kTargetRefused,
         {"status", static_cast<double>(head.m_status), 0});
     refusal.m_retry_after = kRetryAfterTargetRefused;
+    RecordRefused(m_refused_requests, session.metadata().m_root);
     return refusal;
   }
   ResponseStart response;
--- a/test/platform/scripted_target.h
+++ b/test/platform/scripted_target.h
@@ -9,6 +9,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
+#include <list>
 #include <string>
 #include <thread>
 #include <utility>
@@ -41,9 +42,8 @@
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-/// @brief A target on a thread of its own, which serves one connection after
-/// the other. `serve` is called for each request with the request's id; a body
-/// is left for it to read.
+/// @brief A target with a thread for each connection. `serve` is called for
+/// each request with the request's id; a body is left for it to read.
 class ScriptedTarget {
  public:
   using Serve = std::function<void(tcp::socket&, const std::string&)>;
@@ -51,44 +51,59 @@
   ScriptedTarget(tcp::acceptor& acceptor, Serve serve)
       : m_acceptor(acceptor),
         m_serve(std::move(serve)),
-        m_thread([this] { Run(); }) {}
+        m_accept_thread([this] { Accept(); }) {}
 
   ~ScriptedTarget() {
     m_is_stopping = true;
-    // Ends a blocking read or write of the other thread.
-    ::shutdown(m_connection, SHUT_RDWR);
     tcp::socket wake(m_io);
     boost::system::error_code ignored;
     wake.connect(m_acceptor.local_endpoint(), ignored);
-    m_thread.join();
+    m_accept_thread.join();
+    for (Connection& connection : m_connections) {
+      // Ends a blocking read or write of the connection's thread.
+      ::shutdown(connection.m_socket.native_handle(), SHUT_RDWR);
+      connection.m_thread.join();
+    }
   }
 
-  [[nodiscard]] int connections() const { return m_connections; }
+  [[nodiscard]] int connections() const { return m_connection_count; }
 
  private:
-  void Run() {
+  struct Connection {
+    explicit Connection(asio::io_context& io) : m_socket(io) {}
+    tcp::socket m_socket;
+    std::thread m_thread;
+  };
+
+  void Accept() {
     while (true) {
-      tcp::socket socket(m_io);
-      m_acceptor.accept(socket);
+      Connection& connection = m_connections.emplace_back(m_io);
+      m_acceptor.accept(connection.m_socket);
       if (m_is_stopping) {
+        m_connections.pop_back();
         return;
       }
-      ++m_connections;
-      m_connection = socket.native_handle();
-      std::string buffer;
-      boost::system::error_code error;
-      while (true) {
-        const std::size_t size = asio::read_until(
-            socket, asio::dynamic_buffer(buffer), "\r\n\r\n", error);
-        if (error) {
-          break;
-        }
-        const std::string head = buffer.substr(0, size);
-        buffer.erase(0, size);
-        static const std::string kIdField = "X-Request-Id: ";
-        const std::size_t at = head.find(kIdField) + kIdField.size();
-        m_serve(socket, head.substr(at, head.find("\r\n", at) - at));
+      ++m_connection_count;
+      connection.m_thread =
+          std::thread([this, &connection] { Run(connection.m_socket); });
+    }
+  }
+
+  void Run(tcp::socket& socket) const {
+    std::string buffer;
+    boost::system::error_code error;
+    while (true) {
+      const std::size_t size = asio::read_until(
+          socket, asio::dynamic_buffer(buffer), "\r\n\r\n", error);
+      if (error) {
+        ::shutdown(socket.native_handle(), SHUT_RDWR);
+        return;
       }
+      const std::string head = buffer.substr(0, size);
+      buffer.erase(0, size);
+      static const std::string kIdField = "X-Request-Id: ";
+      const std::size_t at = head.find(kIdField) + kIdField.size();
+      m_serve(socket, head.substr(at, head.find("\r\n", at) - at));
     }
   }
 
@@ -96,9 +111,9 @@
   tcp::acceptor& m_acceptor;
   Serve m_serve;
   std::atomic<bool> m_is_stopping{false};
-  std::atomic<int> m_connections{0};
-  std::atomic<int> m_connection{-1};
-  std::thread m_thread;
+  std::atomic<int> m_connection_count{0};
+  std::list<Connection> m_connections;
+  std::thread m_accept_thread;
 };
 
 }  // namespace hemlockpoint::platform
--- a/test/platform/target_exchange_test.cc
+++ b/test/platform/target_exchange_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <set>
 #include <string>
 
 #include "hemlockpoint/relay/slot_dispatcher.h"
@@ -166,13 +167,49 @@
   EXPECT_EQ(RefusalOf(1).m_execution, Execution::kUnknown);
 }
 
-TEST_F(TargetExchange, ARefusalWithItsIdIsNotRun) {
+std::string BusyAnswer(const std::string& request_id) {
+  return "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Request-Id: " +
+         request_id + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+TEST_F(TargetExchange, ACopyOfARefusalIsNotTheAnswerToTheNextRequest) {
+  const ScriptedTarget target(m_acceptor, [&](tcp::socket& socket,
+                                              const std::string& id) {
+    Write(socket, id == "q1" ? BusyAnswer(id)
+                             : BusyAnswer("q1") + Answer(id, "body of " + id));
+  });
+  RunCalls({"q1", "q2"}, false, Millis(2000));
+  EXPECT_EQ(RefusalOf(0).m_execution, Execution::kNotRun);
+  EXPECT_EQ(m_results[1].m_body, "body of q2");
+  EXPECT_EQ(target.connections(), 1);
+}
+
+// Guards against "not run" for a request that the target is running: a client
+// sends a refused request once more under its former id, and the target writes
+// the refusal once more on the kept connection.
+TEST_F(TargetExchange, ACopyOfARefusalIsNotTheAnswerToTheSameRequestSentAgain) {
+  std::set<const tcp::socket*> used;
+  std::atomic<int> requests{0};
   const ScriptedTarget target(
       m_acceptor, [&](tcp::socket& socket, const std::string& id) {
-        Write(socket,
-              "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Request-Id: " + id +
-                  "\r\nContent-Length: 0\r\n\r\n");
+        const bool is_reused = !used.insert(&socket).second;
+        if (++requests == 1) {
+          Write(socket, BusyAnswer(id));
+        } else {
+          Write(socket, (is_reused ? BusyAnswer(id) : "") +
+                            Answer(id, "body of " + id));
+        }
       });
+  RunCalls({"q1", "q1"}, false, Millis(2000));
+  EXPECT_EQ(RefusalOf(0).m_execution, Execution::kNotRun);
+  EXPECT_EQ(m_results[1].m_body, "body of q1");
+}
+
+TEST_F(TargetExchange, ARefusalWithItsIdIsNotRun) {
+  const ScriptedTarget target(m_acceptor,
+                              [&](tcp::socket& socket, const std::string& id) {
+                                Write(socket, BusyAnswer(id));
+                              });
   RunCalls({"q1", "q2"}, false, Millis(2000));
   EXPECT_EQ(RefusalOf(1).m_execution, Execution::kNotRun);
   EXPECT_EQ(RefusalOf(1).m_reason, Reason::kTargetRefused);
