Keep processes running through early reloads and closed log pipes

A process ended by itself when it was told to reload (SIGHUP) in its first milliseconds, in policy mode at any time, and when the reader of its log closed the pipe (SIGPIPE); in the last case callers lost all requests in progress at it. Found while looking for ways in which processes end by themselves, which users saw once on their machines, without logs; that one of these was their case is only suspected.

Cause: the handlers were installed after the listeners were opened, or not at all, and the default action of these signals ends a process.

The signals are now blocked first and unblocked once the handlers are there; a reload in policy mode is reported as refused; SIGPIPE is ignored. The few milliseconds before main() remain.

processes.signals: all four cases failed on the code before.

--- a/src/hemlockpointd/main.cc
+++ b/src/hemlockpointd/main.cc
@@ -13,6 +13,7 @@
 #include "hemlockpoint/node/node.h"
 #include "hemlockpoint/relay/relay_node.h"
 #include "hemlockpoint/runtime/fiber_loop.h"
+#include "hemlockpoint/runtime/signals.h"
 #include "platform/protocol_adapter.h"
 
 namespace {
@@ -79,6 +80,17 @@
   return text.str();
 }
 
+void OnEachSignal(boost::asio::signal_set& signals,
+                  const std::function<void()>& handle) {
+  signals.async_wait(
+      [&signals, handle](const boost::system::error_code& error, int) {
+        if (!error) {
+          handle();
+          OnEachSignal(signals, handle);
+        }
+      });
+}
+
 int RunRelay(const Settings& settings, const std::string& path) {
   hemlockpoint::FiberLoop loop;
   hemlockpoint::RelayNode node(
@@ -105,15 +117,8 @@
   std::string last_text = ReadSettingsText(path);
   bool is_reload_requested = false;
   boost::asio::signal_set reload(loop.io(), SIGHUP);
-  std::function<void()> await_reload = [&] {
-    reload.async_wait([&](const boost::system::error_code& error, int) {
-      if (!error) {
-        is_reload_requested = true;
-        await_reload();
-      }
-    });
-  };
-  await_reload();
+  OnEachSignal(reload, [&] { is_reload_requested = true; });
+  hemlockpoint::UnblockSignals();
   loop.SpawnPeriodic(kSettingsPollPeriod, [&] {
     const std::string current_text = ReadSettingsText(path);
     if (is_reload_requested || current_text != last_text) {
@@ -141,6 +146,12 @@
       loop.Spawn([&] { node.DrainAndStop(); });
     }
   });
+  boost::asio::signal_set reload(loop.io(), SIGHUP);
+  OnEachSignal(reload, [] {
+    LogLine(LogLevel::kWarning, "reload_refused")
+        .With("findings", "settings are read at start only in policy mode");
+  });
+  hemlockpoint::UnblockSignals();
   LogLine(LogLevel::kInfo, "started").With("node", settings.m_node.value());
   loop.Run();
   LogLine(LogLevel::kInfo, "stopped").With("node", settings.m_node.value());
@@ -152,6 +163,7 @@
 // An uncaught exception terminates the process, which is intended.
 // NOLINTNEXTLINE(bugprone-exception-escape)
 int main(int argc, char** argv) {
+  hemlockpoint::BlockSignals();
   Options options;
   if (const auto exit_code = ReadCommandLine(argc, argv, options)) {
     return *exit_code;
