Soak: stop control hosts, spoil answers, and check for lost processes

The soak stopped nodes as planned but never a control host, so it couldn't meet a change of the leader without an excuse; it took a process that had ended by itself for a stopped one, and a 502 while the target was at work for an ordinary failure.

Planned work now includes stops of control hosts; targets also write bytes that are no answer. Two more checks: no process ends by itself; with planned work only, no request is given up while its target is at work.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -23,6 +23,8 @@
         self.requests = {}
         # Number of executions that targets have started, by request.
         self.executions = {}
+        # Requests that a target is running.
+        self.running = set()
         # Status of each response that a caller received.
         self.statuses = {}
         self.findings = []
@@ -37,6 +39,7 @@
 
     def on_execution_start(self, target, request_id, request):
         now = time.monotonic()
+        self.running.add(request_id)
         self.executions[request_id] = self.executions.get(request_id, 0) + 1
         sent = self.requests.get(request_id)
         if sent is None:
@@ -62,6 +65,8 @@
             self.add_finding("caller", f"{request_id} was forwarded without its caller's service")
 
     def on_execution_end(self, request_id):
+        """The target has finished the request or dropped it."""
+        self.running.discard(request_id)
         self.ended_count += 1
 
     def on_response(self, request_id, status):
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -26,6 +26,8 @@
         self.proxy = Proxy(f"{public_ip}:7001", f"{real_ip}:7001")
         self.process = None
         self.is_paused = False
+        # The soak has stopped or killed the process.
+        self.is_end_expected = True
         self.data_folder = f"{cluster.folder}/{name}.data"
         self.is_first_start = True
 
@@ -49,6 +51,10 @@
         self.process = subprocess.Popen([self.cluster.binary, "--settings", path],
                                         stdout=log, stderr=log)
         log.close()
+        self.is_end_expected = False
+
+    def has_ended_by_itself(self):
+        return self.process is not None and not self.is_end_expected and not self.is_alive()
 
     def is_alive(self):
         return self.process is not None and self.process.poll() is None
@@ -59,6 +65,7 @@
             self.process.send_signal(number)
 
     def kill(self):
+        self.is_end_expected = True
         self.send_signal(signal.SIGKILL)
         self.process.wait()
         self.is_paused = False
@@ -67,6 +74,7 @@
         """Sends SIGTERM and waits for the process to exit; kills it after
         STOP_WITHIN_S. Returns the seconds waited."""
         started_at = time.monotonic()
+        self.is_end_expected = True
         self.send_signal(signal.SIGTERM)
         while self.is_alive() and time.monotonic() - started_at < STOP_WITHIN_S:
             await asyncio.sleep(0.02)
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -126,6 +126,10 @@
         if response is None:
             writer.close()
             return None
+        if (response.status in (502, 504) and self.planned_only
+                and request_id in self.checker.running):
+            self.add_finding("given up", f"{request_id} at {node.name} got {response.status} while "
+                                         "its target was at work")
         self.check_response(request_id, prefix, response)
         if response.fields.get("connection", "").lower() == "close":
             writer.close()
@@ -265,10 +269,20 @@
         elif response.status != 404 and node.process.pid == pid and response.status < 500:
             self.seen_marker[pid] = marker
 
+    async def run_watch(self):
+        """Checks that no daemon ends by itself."""
+        while not self.is_ending:
+            for daemon in self.cluster.daemons:
+                if daemon.has_ended_by_itself():
+                    self.add_finding("ends by itself",
+                                     f"{daemon.name} with {daemon.process.returncode}")
+                    daemon.start()
+            await asyncio.sleep(0.05)
+
     # Faults.
 
     async def inject_planned_fault(self):
-        choice = self.rng.choice(("stop", "stop", "drain", "hup"))
+        choice = self.rng.choice(("stop", "stop", "stop control", "drain", "hup"))
         if choice == "stop":
             node = self.rng.choice(self.cluster.nodes)
             if not node.is_alive() or node.is_paused or node.name in self.stopped_at:
@@ -281,6 +295,11 @@
             node.start()
             await asyncio.sleep(2)
             self.stopped_at.pop(node.name, None)
+        elif choice == "stop control":
+            control = self.rng.choice(self.cluster.controls)
+            if control.is_alive() and not control.is_end_expected and not control.is_paused:
+                await control.stop()
+                control.start()
         elif choice == "drain":
             target = self.rng.choice(self.targets)
             if target.is_draining or target.server is None:
@@ -364,7 +383,7 @@
 
     async def disturb_target(self):
         target = self.rng.choice(self.targets)
-        fault = self.rng.choice(("lose_answer", "cut_answer", "extra_answer"))
+        fault = self.rng.choice(("lose_answer", "cut_answer", "extra_answer", "spoil_answer"))
         setattr(target, fault, self.rng.uniform(0.05, 0.4))
         target.slowdown = self.rng.choice((1.0, 1.0, 8.0))
         await asyncio.sleep(self.rng.uniform(0.5, 3))
@@ -411,6 +430,7 @@
         await self.wait_until_ready(20)
         tasks += [asyncio.create_task(self.run_caller(i)) for i in range(CALLERS)]
         tasks.append(asyncio.create_task(self.run_prober()))
+        tasks.append(asyncio.create_task(self.run_watch()))
         await asyncio.sleep(1.5)
         await self.inject_faults(time.monotonic() + fault_s)
         await asyncio.sleep(recovery_s)
--- a/soak/target.py
+++ b/soak/target.py
@@ -43,6 +43,7 @@
         self.lose_answer = 0.0
         self.cut_answer = 0.0
         self.extra_answer = 0.0
+        self.spoil_answer = 0.0
         # Factor on the time that a request takes.
         self.slowdown = 1.0
         self.report_task = None
@@ -135,10 +136,10 @@
             await asyncio.sleep(self.rng.uniform(0.005, 0.06) * self.slowdown)
         finally:
             self.running = max(0, self.running - 1)
+            self.checker.on_execution_end(request_id)
         # The target has crashed or restarted meanwhile.
         if incarnation != self.instance or self.server is None:
             return False
-        self.checker.on_execution_end(request_id)
         if self.rng.random() < self.lose_answer:
             writer.transport.abort()
             return False
@@ -147,12 +148,31 @@
         if self.rng.random() < self.cut_answer:
             writer.write(http1.encode("HTTP/1.1 200 OK", head, body)[:-len(body) // 2])
             return False
+        if self.rng.random() < self.spoil_answer:
+            writer.write(self.make_spoiled_answer(request_id, body))
+            await writer.drain()
+            return False
         self.send_response(writer, "200 OK", head, body)
         if self.rng.random() < self.extra_answer:
             stale = {**head, wire.REQUEST_ID: "stale-" + request_id}
             self.send_response(writer, "200 OK", stale, b"stale")
         return True
 
+    def make_spoiled_answer(self, request_id, body):
+        """Returns bytes that are no complete response to the request."""
+        head = (f"HTTP/1.1 200 OK\r\n{wire.REQUEST_ID}: {request_id}\r\n"
+                f"{wire.PROOF}: {wire.proof_of(request_id, body)}\r\n").encode()
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
+        noise = bytes(self.rng.randrange(256) for _ in range(self.rng.randrange(1, 400)))
+        return self.rng.choice((
+            noise, b"HTTP/1.1 " + noise, head + noise, chunked + noise,
+            head + b"X-Filler: " + b"a" * 70_000 + b"\r\n\r\n",
+            head + b"Content-Length: -1\r\n\r\n" + body,
+            head + b"Content-Length: 99999999999999999999\r\n\r\n" + body,
+            chunked + b"0\r\nX-Filler: " + b"a" * 70_000 + b"\r\n\r\n",
+            chunked + b"f" * 300_000, chunked + b"5;x=" + b"a" * 300_000,
+            b"HTTP/1.1 100 Continue\r\n\r\n" * 1000))
+
     def send_response(self, writer, status, fields, body=b""):
         load = {wire.LOAD: f"{self.running},0,{self.slots},100"}
         writer.write(http1.encode(f"HTTP/1.1 {status}", {**fields, **load}, body))
