End the wait for request credit with the response or the caller

Cause: the sender of the rest of the body waits for credit that such a node never grants; only the loss of the link ended that wait.

The head of a response, the caller's leaving and the deadline of the call now end it too, on links and within a process.

BodyWithoutCredit.EndsWithTheResponse, EndsWithARefusal and EndsWhenTheCallerLeaves failed without the change.

--- a/src/hemlockpoint/relay/request_router.cc
+++ b/src/hemlockpoint/relay/request_router.cc
@@ -45,8 +45,7 @@
       call->m_has_caller_left = true;
       if (call->m_outbound) {
         call->m_outbound->m_sender->Cancel("the caller has left");
-        call->m_outbound->m_state->m_cancelled = true;
-        call->m_outbound->m_state->m_changed.Notify();
+        call->m_outbound->m_state->MarkCallerGone();
       }
     });
     refusal = RunAttempts(*call, exchange);
--- a/src/hemlockpoint/relay/request_router_attempts.cc
+++ b/src/hemlockpoint/relay/request_router_attempts.cc
@@ -295,6 +295,7 @@
   }
   call.m_outbound = std::move(*opened);
   OutboundCall& outbound = *call.m_outbound;
+  outbound.m_state->m_request_credit.SetDeadline(call.m_deadline);
   if (call.m_body.size() > kFirstBodyBytes) {
     for (std::size_t offset = kFirstBodyBytes; offset < call.m_body.size();
          offset += kMaxChunkBytes) {
--- a/src/hemlockpoint/transport/call.cc
+++ b/src/hemlockpoint/transport/call.cc
@@ -37,13 +37,7 @@
     if (m_state->m_cancelled) {
       return false;
     }
-    m_state->m_response_body.Push(std::move(response.m_body.m_data));
-    response.m_body.m_data.clear();
-    if (response.m_complete) {
-      m_state->m_response_body.Finish();
-    }
-    m_state->m_response = std::move(response);
-    m_state->m_changed.Notify();
+    m_state->SetResponse(std::move(response));
     return true;
   }
 
@@ -83,7 +77,12 @@
 }
 
 bool SendCredit::Take(std::size_t bytes) {
-  m_changed.Wait([this] { return m_is_closed || m_bytes > 0; });
+  const auto can_proceed = [this] { return m_is_closed || m_bytes > 0; };
+  if (!m_deadline) {
+    m_changed.Wait(can_proceed);
+  } else if (!can_proceed() && !m_changed.WaitUntil(*m_deadline, can_proceed)) {
+    return false;
+  }
   m_bytes -= static_cast<std::int64_t>(bytes);
   return !m_is_closed;
 }
@@ -108,6 +107,23 @@
   m_changed.Notify();
 }
 
+void CallState::SetResponse(ResponseStart response) {
+  m_request_credit.Close();
+  m_response_body.Push(std::move(response.m_body.m_data));
+  response.m_body.m_data.clear();
+  if (response.m_complete) {
+    m_response_body.Finish();
+  }
+  m_response = std::move(response);
+  m_changed.Notify();
+}
+
+void CallState::MarkCallerGone() {
+  m_cancelled = true;
+  m_request_credit.Close();
+  m_changed.Notify();
+}
+
 void CallState::MarkLost() {
   m_is_target_lost = true;
   m_response_body.MarkTruncated();
--- a/src/hemlockpoint/transport/call.h
+++ b/src/hemlockpoint/transport/call.h
@@ -26,13 +26,19 @@
   /// @brief Makes waiting and later Take() calls fail.
   void Close();
 
+  /// @brief Sets the time, as of SteadyNow(), from which on Take() doesn't
+  /// wait.
+  void SetDeadline(Millis deadline) { m_deadline = deadline; }
+
   /// @brief Waits until the credit is positive, then subtracts a chunk from it.
-  /// @return Whether the chunk may be sent; false once closed.
+  /// @return Whether the chunk may be sent; false once closed, or if the wait
+  /// has reached the deadline.
   [[nodiscard]] bool Take(std::size_t bytes);
 
  private:
   std::int64_t m_bytes;
   bool m_is_closed = false;
+  std::optional<Millis> m_deadline;
   FiberEvent m_changed;
 };
 
@@ -64,6 +70,14 @@
   /// no effect.
   void Cancel();
 
+  /// @brief Takes the head of the response. The rest of the request body is not
+  /// needed any more, so waiting for its credit ends.
+  void SetResponse(ResponseStart response);
+
+  /// @brief Records that the caller no longer waits for the response: waiting
+  /// for a response or for request credit ends.
+  void MarkCallerGone();
+
   /// @brief Marks the target side as lost: waiting for a response or for
   /// credit ends, and a partial response body counts as truncated.
   void MarkLost();
--- a/src/hemlockpoint/transport/link_state.h
+++ b/src/hemlockpoint/transport/link_state.h
@@ -249,16 +249,11 @@
     if (found == link.m_calls.end()) {
       return;
     }
-    CallState& state = *found->second;
-    state.m_response_body.Push(std::move(response.m_body.m_data));
-    response.m_body.m_data.clear();
-    if (response.m_complete) {
-      state.m_response_body.Finish();
-    }
-    state.m_response = std::move(response);
-    state.m_changed.Notify();
-    if (state.m_response->m_complete) {
-      RemoveCall(link, state.m_response->m_call);
+    const CallId call = response.m_call;
+    const bool is_complete = response.m_complete;
+    found->second->SetResponse(std::move(response));
+    if (is_complete) {
+      RemoveCall(link, call);
     }
   }
 
--- a/test/hemlockpoint/transport/link_manager_test.cc
+++ b/test/hemlockpoint/transport/link_manager_test.cc
@@ -78,5 +78,87 @@
   });
 }
 
+// A call whose body waits for credit that the target's node doesn't grant. The
+// wait must end, or its fiber and the memory of the body are lost.
+class BodyWithoutCredit : public LinkManagerTest {
+ protected:
+  // Starts a call with an incomplete body, and runs `end_wait` 100 ms after its
+  // next chunk has begun to wait. Returns whether the wait ended soon after.
+  bool EndsWait(const std::function<void(OutboundCall&)>& end_wait) {
+    CallStart start;
+    start.m_complete = false;
+    bool is_waiting = true;
+    bool is_sent = true;
+    OutboundCall call;
+    m_pair.Run([&] {
+      const Result<LinkId> link = m_pair.m_entry_links.EnsureLink(
+          m_pair.m_endpoint, SteadyNow() + LinkPair::kPatience);
+      call = m_pair.m_entry_links.StartCall(*link, std::move(start));
+      m_pair.m_loop.Spawn([&] {
+        is_sent = call.m_sender->SendBody("chunk", true);
+        is_waiting = false;
+      });
+      m_pair.AwaitCalls(1);
+      SleepFor(Millis(100));
+      EXPECT_TRUE(is_waiting);
+      end_wait(call);
+      SleepFor(Millis(150));
+      EXPECT_FALSE(is_sent && !is_waiting);
+      const bool has_ended = !is_waiting;
+      // So that the test ends in any case.
+      call.m_state->m_request_credit.Close();
+      m_has_ended = has_ended;
+    });
+    return m_has_ended;
+  }
+
+  bool m_has_ended = false;
+};
+
+TEST_F(BodyWithoutCredit, EndsWithTheResponse) {
+  EXPECT_TRUE(EndsWait([this](OutboundCall&) { m_pair.Respond(0); }));
+}
+
+TEST_F(BodyWithoutCredit, EndsWithARefusal) {
+  EXPECT_TRUE(EndsWait([this](OutboundCall&) {
+    ResponseStart response;
+    response.m_refusal = Refusal();
+    m_pair.m_calls[0].m_sender->SendResponse(std::move(response));
+  }));
+}
+
+TEST_F(BodyWithoutCredit, EndsWhenTheCallerLeaves) {
+  EXPECT_TRUE(
+      EndsWait([](OutboundCall& call) { call.m_state->MarkCallerGone(); }));
+}
+
+TEST_F(BodyWithoutCredit, EndsWithTheLink) {
+  EXPECT_TRUE(
+      EndsWait([this](OutboundCall&) { m_pair.m_target_links.Shutdown(); }));
+}
+
+TEST(SendCredit, WaitEndsAtTheDeadline) {
+  FiberLoop loop;
+  SendCredit credit(0);
+  credit.SetDeadline(SteadyNow() + Millis(100));
+  bool is_taken = true;
+  Millis waited;
+  loop.Spawn([&] {
+    const Millis started = SteadyNow();
+    is_taken = credit.Take(1);
+    waited = SteadyNow() - started;
+    loop.Stop();
+  });
+  loop.Run();
+  EXPECT_FALSE(is_taken);
+  EXPECT_LT(waited, Millis(1000));
+}
+
+TEST(SendCredit, AvailableCreditIsTakenAfterTheDeadline) {
+  SendCredit credit(10);
+  credit.SetDeadline(SteadyNow() - Millis(1));
+  EXPECT_TRUE(credit.Take(5));
+}
+
 }  // namespace
 }  // namespace hemlockpoint
