Tell subscribers that a member has left their service

When a node's target was replaced by one of another service, or was forgotten, subscribers of the former service went on sending calls to that node, which refused them, until the node was restarted. A directory delta carried the member only to the subscribers of its present service.

The directory remembers the former services of a member, at most 8, and sends it as gone to their subscribers.

Directory.TellsSubscribersThatAMemberHasLeftTheirService failed before.

--- a/src/hemlockpoint/membership/directory.cc
+++ b/src/hemlockpoint/membership/directory.cc
@@ -1,5 +1,6 @@
 #include "hemlockpoint/membership/directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace hemlockpoint {
@@ -19,6 +20,22 @@
   return subscriber.m_interests.count(member.m_entry.m_target.m_service) != 0;
 }
 
+bool WasSubscribed(const Subscriber& subscriber,
+                   const DirectoryMember& member) {
+  return std::any_of(member.m_former_services.begin(),
+                     member.m_former_services.end(),
+                     [&](const ServiceName& service) {
+                       return subscriber.m_interests.count(service) != 0;
+                     });
+}
+
+void RecordFormerService(DirectoryMember& member, const ServiceName& service) {
+  if (!service.empty() &&
+      member.m_former_services.size() < kMaxFormerServices) {
+    member.m_former_services.insert(service);
+  }
+}
+
 }  // namespace
 
 Directory StartDirectory(std::string origin, Millis now) {
@@ -51,6 +68,10 @@
   }
   const bool changed = !is_known || member.m_gone ||
                        !HasSamePublishedFields(member.m_entry, entry);
+  const ServiceName former_service = member.m_entry.m_target.m_service;
+  if (former_service != entry.m_target.m_service) {
+    RecordFormerService(member, former_service);
+  }
   member.m_entry = entry;
   member.m_renewed = now;
   member.m_gone = false;
@@ -115,10 +136,14 @@
   delta.m_is_full = send_full;
   const std::uint64_t since = send_full ? 0 : subscriber.m_version;
   for (const auto& [node, member] : directory.m_members) {
-    if (member.m_version <= since || !IsSubscribed(subscriber, member)) {
+    if (member.m_version <= since) {
+      continue;
+    }
+    const bool is_subscribed = IsSubscribed(subscriber, member);
+    if (!is_subscribed && !WasSubscribed(subscriber, member)) {
       continue;
     }
-    if (member.m_gone) {
+    if (member.m_gone || !is_subscribed) {
       delta.m_gone.push_back(node);
     } else {
       delta.m_changed.push_back(member.m_entry);
--- a/src/hemlockpoint/membership/directory.h
+++ b/src/hemlockpoint/membership/directory.h
@@ -29,6 +29,8 @@
 /// @brief How long the directory keeps a member after its last heartbeat, so
 /// that subscribers are told that it is gone.
 inline constexpr Millis kTombstoneRetention(30'000);
+/// @brief Maximum number of former services of a member that are remembered.
+inline constexpr std::size_t kMaxFormerServices = 8;
 /// @brief Maximum number of members, including those that are gone.
 inline constexpr std::size_t kMaxMembers = 4096;
 
@@ -41,6 +43,9 @@
   std::uint64_t m_version = 0;
   /// Whether the lease has expired.
   bool m_gone = false;
+  /// Services that the node's target belonged to before. Their subscribers may
+  /// still have the node as a member.
+  std::set<ServiceName> m_former_services;
 };
 
 /// @brief The nodes that send heartbeats to the leader of the control group.
--- a/test/hemlockpoint/membership/directory_test.cc
+++ b/test/hemlockpoint/membership/directory_test.cc
@@ -63,6 +63,26 @@
             1U);
 }
 
+// The address of the target was given to another service, or the node no longer
+// knows its target. Calls of the former service must not be sent there.
+TEST(Directory, TellsSubscribersThatAMemberHasLeftTheirService) {
+  Directory directory = MakeDirectory();
+  RenewMember(directory, MakeMember("a"), kAfterWarmUp);
+  Subscriber subscriber;
+  UpdateInterests(subscriber, directory, MakeSubscription(directory, kStock));
+  ASSERT_EQ(CollectDelta(subscriber, directory, kAfterWarmUp).m_changed.size(),
+            1U);
+  RenewMember(directory, MakeMember("a", ""), kAfterWarmUp);
+  RenewMember(directory, MakeMember("a", "photos"), kAfterWarmUp);
+  const auto left = CollectDelta(subscriber, directory, kAfterWarmUp);
+  EXPECT_EQ(left.m_gone, std::vector<NodeId>{NodeId("a")});
+  EXPECT_TRUE(left.m_changed.empty());
+  RenewMember(directory, MakeMember("a"), kAfterWarmUp);
+  const auto back = CollectDelta(subscriber, directory, kAfterWarmUp);
+  EXPECT_EQ(back.m_changed.size(), 1U);
+  EXPECT_TRUE(back.m_gone.empty());
+}
+
 TEST(Directory, MarksSilentMemberGoneWithinThreeSeconds) {
   Directory directory = MakeDirectory();
   RenewMember(directory, MakeMember("a"), Millis(0));
