Bound the memory of bodies at the node of their target

Memory for the whole body is now reserved before any credit is granted, up to the same bound again; what doesn't fit is refused as not run and tried at another target. The gauge body_bytes counts both.

BodiesForASilentTargetAreBounded failed before.

--- a/src/hemlockpoint/config/settings.h
+++ b/src/hemlockpoint/config/settings.h
@@ -85,7 +85,8 @@
   TargetSettings m_target;
   /// Route mode: limits on retries.
   RetryLimits m_repeats;
-  /// Route mode: maximum memory of a node for request bodies.
+  /// Route mode: maximum memory of a node for the request bodies that it holds
+  /// as the entry, and the same for those of calls to its target.
   std::size_t m_max_body_memory_bytes = std::size_t{64} * 1024 * 1024;
 
   std::vector<ControlHost> m_control_hosts;
--- a/src/hemlockpoint/relay/context.h
+++ b/src/hemlockpoint/relay/context.h
@@ -63,8 +63,10 @@
   LinkManager* m_links = nullptr;
   /// Requests received by this node that have no response yet.
   std::size_t m_entry_calls = 0;
-  /// Request body bytes held in memory.
+  /// Request body bytes held in memory as the entry.
   std::size_t m_body_bytes = 0;
+  /// Request body bytes reserved for calls to the target.
+  std::size_t m_target_body_bytes = 0;
   bool m_leaving = false;
   /// While the node is leaving: when it ends the calls that are still in
   /// progress.
--- a/src/hemlockpoint/relay/dispatch_session.h
+++ b/src/hemlockpoint/relay/dispatch_session.h
@@ -22,6 +22,8 @@
   /// The call's entry in the slot queue.
   SlotCall m_queue_entry;
   std::string m_body;
+  /// Memory reserved for m_body.
+  std::size_t m_reserved_bytes = 0;
   /// Status of the target's response; 0 before it has arrived.
   unsigned m_status = 0;
   Phase m_phase = Phase::kWaiting;
--- a/src/hemlockpoint/relay/relay_node.cc
+++ b/src/hemlockpoint/relay/relay_node.cc
@@ -288,7 +288,8 @@
     }
     gauges.m_members = static_cast<double>(m_context.m_members.size());
     gauges.m_links = static_cast<double>(m_links.links());
-    gauges.m_body_bytes = static_cast<double>(m_context.m_body_bytes);
+    gauges.m_body_bytes = static_cast<double>(m_context.m_body_bytes +
+                                              m_context.m_target_body_bytes);
     gauges.m_bytes_between_domains =
         static_cast<double>(m_links.counters().m_bytes_between_domains);
     gauges.m_leads = m_control && m_control->group().is_leader() ? 1 : 0;
--- a/src/hemlockpoint/relay/slot_dispatcher.cc
+++ b/src/hemlockpoint/relay/slot_dispatcher.cc
@@ -25,6 +25,7 @@
 // The average follows a change within about 10 calls of Tick().
 constexpr double kLoopDelayGain = 0.1;
 constexpr Millis kRetryWhileUnknown(300);
+constexpr Millis kRetryWithoutMemory(300);
 // Lower bound of the service time that delays of this process are compared
 // with.
 constexpr Millis kMinServiceTime(10);
@@ -222,6 +223,25 @@
   return std::nullopt;
 }
 
+// Reserves memory for the whole body before any credit for it is granted. The
+// entry states the length, because it has the whole body.
+std::optional<Refusal> SlotDispatcher::ReserveBodyMemory(
+    DispatchSession& session) {
+  const CallStart& start = session.m_call.m_start;
+  const std::size_t limit = m_context.m_settings.m_max_body_memory_bytes;
+  const std::uint64_t length = start.m_request.m_content_length.value_or(0);
+  const std::size_t reserved = m_context.m_target_body_bytes;
+  if (length > limit || reserved > limit - length) {
+    return MakeRefusal(Reason::kNodeOverloaded,
+                       {"body_bytes", static_cast<double>(reserved + length),
+                        static_cast<double>(limit)},
+                       kRetryWithoutMemory);
+  }
+  session.m_reserved_bytes = static_cast<std::size_t>(length);
+  m_context.m_target_body_bytes += session.m_reserved_bytes;
+  return std::nullopt;
+}
+
 bool SlotDispatcher::ReceiveBody(DispatchSession& session) {
   CallState& state = *session.m_call.m_state;
   if (!session.m_call.m_start.m_complete) {
@@ -250,9 +270,19 @@
     Refuse(*session, *refusal);
     return;
   }
-  if (!ReceiveBody(*session)) {
+  if (auto refusal = ReserveBodyMemory(*session)) {
+    Refuse(*session, *refusal);
     return;
   }
+  if (ReceiveBody(*session)) {
+    QueueAndDispatch(session);
+  }
+  m_context.m_target_body_bytes -= session->m_reserved_bytes;
+}
+
+void SlotDispatcher::QueueAndDispatch(
+    const std::shared_ptr<DispatchSession>& session) {
+  const Millis now = session->m_arrival;
   SlotCall& waiting = session->m_queue_entry;
   waiting.m_nested = session->metadata().m_depth > 0;
   waiting.m_returning = session->metadata().m_returning;
--- a/src/hemlockpoint/relay/slot_dispatcher.h
+++ b/src/hemlockpoint/relay/slot_dispatcher.h
@@ -82,7 +82,9 @@
 
   std::optional<Refusal> CheckAdmission(const DispatchSession& session) const;
   Millis MaxConnectionIdleTime(const CallMetadata& metadata) const;
+  std::optional<Refusal> ReserveBodyMemory(DispatchSession& session);
   bool ReceiveBody(DispatchSession& session);
+  void QueueAndDispatch(const std::shared_ptr<DispatchSession>& session);
   void GrantFreeSlots();
   void DropWaiting(const std::vector<SlotCall>& calls, Reason reason);
   void Dispatch(DispatchSession& session);
--- a/test/platform/target_exchange_test.cc
+++ b/test/platform/target_exchange_test.cc
@@ -76,7 +76,10 @@
     m_loop.Run();
   }
 
-  CallResult RunCall(const std::string& id, bool idempotent, Millis time_left) {
+  CallResult RunCall(const std::string& id,
+                     bool idempotent,
+                     Millis time_left,
+                     const std::string& body = "") {
     CallStart start;
     start.m_metadata.m_root = RequestId(id);
     start.m_metadata.m_idempotent = idempotent;
@@ -87,6 +90,9 @@
     start.m_request.m_method = "GET";
     start.m_request.m_path = "/a/";
     start.m_request.m_headers = {{"X-Request-Id", id}};
+    start.m_request.m_content_length = body.size();
+    start.m_body.m_data = body;
+    start.m_complete = true;
     LocalCall call = MakeLocalCall(std::move(start));
     auto inbound = std::make_shared<InboundCall>(std::move(call.m_inbound));
     m_loop.Spawn([this, inbound] { m_dispatcher.Serve(std::move(*inbound)); });
@@ -271,6 +277,54 @@
   EXPECT_LT(m_results[0].m_duration, Millis(1500));
 }
 
+// Guards against a node that runs out of memory because its target is silent
+// while large bodies arrive. The calls that fit are held until their deadline,
+// the others are refused as not run, and calls without a body go on.
+TEST_F(TargetExchange, BodiesForASilentTargetAreBounded) {
+  constexpr std::size_t kBodyBytes = std::size_t{400} * 1024;
+  m_context.m_settings.m_max_body_memory_bytes = kBodyBytes * 2;
+  const ScriptedTarget target(m_acceptor,
+                              [](tcp::socket& socket, const std::string& id) {
+                                if (id == "small") {
+                                  Write(socket, Answer(id, "x"));
+                                }
+                              });
+  std::vector<CallResult> large(4);
+  CallResult small;
+  m_loop.SpawnPeriodic(SlotDispatcher::kTickPeriod,
+                       [this] { m_dispatcher.Tick(); });
+  m_loop.Spawn([&] {
+    m_dispatcher.HandleTargetReport(MakeReport());
+    while (m_dispatcher.Summary().m_slots == 0) {
+      SleepFor(Millis(5));
+    }
+    for (std::size_t i = 0; i < large.size(); ++i) {
+      m_loop.Spawn([&, i] {
+        large[i] = RunCall("large" + std::to_string(i), true, Millis(500),
+                           std::string(kBodyBytes, 'b'));
+      });
+    }
+    SleepFor(Millis(100));
+    EXPECT_EQ(m_context.m_target_body_bytes, kBodyBytes * 2);
+    small = RunCall("small", true, Millis(500));
+    while (m_dispatcher.calls() > 0) {
+      SleepFor(Millis(5));
+    }
+    SleepFor(Millis(50));
+    EXPECT_EQ(m_context.m_target_body_bytes, 0U);
+    m_loop.Stop();
+  });
+  m_loop.Run();
+  EXPECT_EQ(small.m_body, "x");
+  for (const std::size_t refused : {2, 3}) {
+    ASSERT_TRUE(large[refused].m_response);
+    EXPECT_EQ(large[refused].m_response->m_refusal->m_reason,
+              Reason::kNodeOverloaded);
+    EXPECT_EQ(large[refused].m_response->m_refusal->m_execution,
+              Execution::kNotRun);
+  }
+}
+
 struct EndlessBodyCase {
   bool m_is_idempotent;
   const char* m_framing;
