Answer 431 to a field that is too long to store

The HTTP library throws std::length_error for a name or value of 65,534 bytes or more, inside a completion handler.

The parsers of requests and responses now report such a field as an error of the head before it is stored; a client gets 431.

HttpServer.AFieldThatIsTooLongToStoreGets431 ended the test program before.

--- a/src/hemlockpoint/http/client.cc
+++ b/src/hemlockpoint/http/client.cc
@@ -13,6 +13,7 @@
 
 #include "hemlockpoint/http/beast_fields.h"
 #include "hemlockpoint/http/body_buffer.h"
+#include "hemlockpoint/http/message_parser.h"
 #include "hemlockpoint/runtime/await.h"
 
 namespace hemlockpoint {
@@ -283,7 +284,7 @@
   std::unique_ptr<Connection> m_connection;
   http::request<http::buffer_body> m_request;
   std::optional<http::request_serializer<http::buffer_body>> m_serializer;
-  std::optional<http::response_parser<http::buffer_body>> m_parser;
+  std::optional<internal::MessageParser<false>> m_parser;
   bool m_is_reused;
   bool m_is_head_request = false;
   bool m_is_request_sent = false;
--- a/src/hemlockpoint/http/connection.h
+++ b/src/hemlockpoint/http/connection.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "hemlockpoint/http/message_parser.h"
 #include "hemlockpoint/http/server.h"
 #include "hemlockpoint/runtime/fiber_event.h"
 
@@ -135,7 +136,7 @@
   bool WriteMessage();
 
   std::shared_ptr<HttpConnection> m_connection;
-  boost::beast::http::request_parser<boost::beast::http::buffer_body> m_parser;
+  MessageParser<true> m_parser;
   HttpRequestHead m_head;
   boost::beast::http::response<boost::beast::http::buffer_body>
       m_response_message;
--- a/test/hemlockpoint/http/server_test.cc
+++ b/test/hemlockpoint/http/server_test.cc
@@ -169,6 +169,51 @@
   EXPECT_NE(new_response.find("/new"), std::string::npos) << new_response;
 }
 
+// Guards against an exception that ends the process where heads of more than
+// 64 KiB are allowed: the parser can't store a field of that size.
+TEST(HttpServer, AFieldThatIsTooLongToStoreGets431) {
+  FiberLoop loop;
+  HttpServerLimits limits;
+  limits.m_header_bytes = 256 * 1024;
+  int handled = 0;
+  HttpServer server(loop, limits, [&](HttpExchange& exchange) {
+    ++handled;
+    HttpResponseHead head;
+    head.m_status = 200;
+    (void)exchange.Respond(head, "ok");
+  });
+  ASSERT_FALSE(server.Listen(kServerEndpoint));
+  const std::string start =
+      "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n";
+  const std::string filler(40'000, 'a');
+  std::string long_field;
+  std::string long_name;
+  std::string long_head;
+  std::atomic<bool> is_done{false};
+  std::thread client([&] {
+    long_field =
+        SendAndReceive(start + "X-A: " + std::string(80'000, 'a') + "\r\n\r\n");
+    long_name =
+        SendAndReceive(start + std::string(80'000, 'a') + ": b\r\n\r\n");
+    long_head = SendAndReceive(start + "X-A: " + filler + "\r\nX-B: " + filler +
+                               "\r\n\r\n");
+    is_done = true;
+  });
+  loop.Spawn([&] {
+    while (!is_done) {
+      SleepFor(Millis(5));
+    }
+    server.Drain();
+    loop.Stop();
+  });
+  loop.Run();
+  client.join();
+  EXPECT_NE(long_field.find(" 431 "), std::string::npos) << long_field;
+  EXPECT_NE(long_name.find(" 431 "), std::string::npos) << long_name;
+  EXPECT_NE(long_head.find(" 200 "), std::string::npos) << long_head;
+  EXPECT_EQ(handled, 1);
+}
+
 class EndlessChunkOfAClient : public ::testing::TestWithParam<const char*> {};
 
 // Guards against a client that makes the server buffer bytes which are no part
