Abort a response in the turn of its request

Abort() was the only end of a response that didn't wait for its turn.

HttpServer.AbortWaitsForEarlierResponses failed before.

--- a/src/hemlockpoint/http/connection.cc
+++ b/src/hemlockpoint/http/connection.cc
@@ -214,6 +214,8 @@
 }
 
 void ServerExchange::Abort() {
+  // If the connection is closing already, the result doesn't matter.
+  (void)m_connection->AwaitTurn(m_request_index);
   m_connection->Close();
 }
 
--- a/src/hemlockpoint/http/server.h
+++ b/src/hemlockpoint/http/server.h
@@ -68,7 +68,7 @@
   virtual bool FinishResponse() = 0;
 
   /// @brief Closes the connection before the response is finished, so that the
-  /// client can detect a truncated body.
+  /// client can detect a truncated body. Waits for earlier responses.
   virtual void Abort() = 0;
 };
 
--- a/test/hemlockpoint/http/server_test.cc
+++ b/test/hemlockpoint/http/server_test.cc
@@ -88,6 +88,48 @@
   EXPECT_LT(responses.find("/first"), responses.find("/second"));
 }
 
+// Guards against a response that is lost because a later one on the connection
+// is aborted. The first response is written only after the abort has begun.
+TEST(HttpServer, AbortWaitsForEarlierResponses) {
+  FiberLoop loop;
+  FiberEvent changed;
+  bool is_aborting = false;
+  HttpServer server(loop, HttpServerLimits(), [&](HttpExchange& exchange) {
+    if (exchange.head().m_path == "/second") {
+      is_aborting = true;
+      changed.Notify();
+      exchange.Abort();
+      return;
+    }
+    changed.Wait([&] { return is_aborting; });
+    SleepFor(Millis(50));
+    HttpResponseHead head;
+    head.m_status = 200;
+    (void)exchange.Respond(head, exchange.head().m_path);
+  });
+  ASSERT_FALSE(server.Listen(kServerEndpoint));
+  std::string responses;
+  std::atomic<bool> is_done{false};
+  std::thread client([&] {
+    responses = SendAndReceive(
+        "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+        "GET /second HTTP/1.1\r\nHost: a\r\n\r\n"
+        "GET /third HTTP/1.1\r\nHost: a\r\n\r\n");
+    is_done = true;
+  });
+  loop.Spawn([&] {
+    while (!is_done) {
+      SleepFor(Millis(5));
+    }
+    server.Drain();
+    loop.Stop();
+  });
+  loop.Run();
+  client.join();
+  EXPECT_EQ(CountOccurrences(responses, "HTTP/1.1 200"), 1U) << responses;
+  EXPECT_NE(responses.find("/first"), std::string::npos) << responses;
+}
+
 // A client's connection to the server, used without blocking the loop.
 class RawClient {
  public:
