--- a/src/hemlockpoint/control/control_service.cc
+++ b/src/hemlockpoint/control/control_service.cc
@@ -17,7 +17,6 @@
 constexpr Millis kPushResendInterval(1000);
 constexpr std::size_t kMaxDeltaResends = 2;
 constexpr Millis kClaimPlanPeriod(1000);
-constexpr Millis kGroupInitPeriod(1000);
 // A leader without a recent quorum ack may have been replaced, so the document
 // that it would push could be outdated.
 constexpr Millis kMaxPushQuorumAckAge(1500);
@@ -433,25 +432,6 @@
   }
 }
 
-// Sends the initial configuration to the other initial members until a leader
-// is known. No member can be elected before a majority has this configuration.
-void ControlService::ResendGroupInit(Millis now) {
-  const RaftState& raft = m_group.raft();
-  const bool is_just_formed = IsInGroup(raft) && raft.m_leader.empty() &&
-                              raft.m_log.m_snapshot.m_index == 0 &&
-                              LastIndex(raft.m_log) == 1;
-  if (!is_just_formed || now < m_next_group_init_at) {
-    return;
-  }
-  m_next_group_init_at = now + kGroupInitPeriod;
-  for (const GroupMember& member : raft.m_config.m_config.m_members) {
-    const auto peer = ParseEndpoint(member.m_peer);
-    if (peer && member.m_instance != raft.m_instance) {
-      m_links.SendTo(*peer, GroupInit{raft.m_config.m_config});
-    }
-  }
-}
-
 PolicyChangeOutcome ControlService::Change(const PolicyChange& change) {
   PolicyChangeOutcome outcome;
   if (!m_group.is_leader()) {
--- a/src/hemlockpoint/control/control_service_group.cc
+++ b/src/hemlockpoint/control/control_service_group.cc
@@ -12,6 +12,7 @@
 
 constexpr Millis kCommitTimeout(4000);
 constexpr Millis kInstanceQueryTimeout(1500);
+constexpr Millis kGroupInitPeriod(1000);
 
 }  // namespace
 
@@ -30,6 +31,25 @@
                    : std::nullopt;
 }
 
+// Sends the initial configuration to the other initial members until a leader
+// is known. No member can be elected before a majority has this configuration.
+void ControlService::ResendGroupInit(Millis now) {
+  const RaftState& raft = m_group.raft();
+  const bool is_just_formed = IsInGroup(raft) && raft.m_leader.empty() &&
+                              raft.m_log.m_snapshot.m_index == 0 &&
+                              LastIndex(raft.m_log) == 1;
+  if (!is_just_formed || now < m_next_group_init_at) {
+    return;
+  }
+  m_next_group_init_at = now + kGroupInitPeriod;
+  for (const GroupMember& member : raft.m_config.m_config.m_members) {
+    const auto peer = ParseEndpoint(member.m_peer);
+    if (peer && member.m_instance != raft.m_instance) {
+      m_links.SendTo(*peer, GroupInit{raft.m_config.m_config});
+    }
+  }
+}
+
 std::optional<std::string> ControlService::InitGroup(
     const std::string& admin_token_sha256) {
   if (IsInGroup(m_group.raft())) {
--- a/src/hemlockpoint/http/client.cc
+++ b/src/hemlockpoint/http/client.cc
@@ -28,9 +28,6 @@
 
 constexpr unsigned kHttp11 = 11;
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
-// Bytes of a response that are read ahead. The limit also ends responses with
-// an endless chunk header or trailer, to which the parser applies no limit.
-constexpr std::size_t kReadBufferBytes = kMaxHeaderBytes;
 // The final head of a response and the interim ones before it. A server that
 // sends interim responses without end would otherwise keep the call busy until
 // its deadline.
@@ -43,7 +40,7 @@
 struct Connection {
   explicit Connection(asio::io_context& io) : m_socket(io) {}
   tcp::socket m_socket;
-  beast::flat_buffer m_buffer{kReadBufferBytes};
+  beast::flat_buffer m_buffer{internal::kReadBufferBytes};
   Millis m_idle_since;
   // Time for which the server keeps the connection open while it is idle.
   Millis m_keep_alive_timeout = kDefaultKeepAliveTimeout;
--- a/src/hemlockpoint/http/connection.cc
+++ b/src/hemlockpoint/http/connection.cc
@@ -76,8 +76,6 @@
     : m_connection(std::move(connection)) {
   m_parser.header_limit(limits.m_header_bytes);
   m_parser.body_limit(limits.m_body_bytes);
-  // Also bounds chunk headers and trailers, to which the parser applies no
-  // limit.
   auto& buffer = m_connection->m_buffer;
   buffer.max_size(std::max(
       {kReadBufferBytes, std::size_t{limits.m_header_bytes}, buffer.size()}));
--- a/src/hemlockpoint/http/connection.h
+++ b/src/hemlockpoint/http/connection.h
@@ -23,10 +23,6 @@
 /// same time.
 inline constexpr std::size_t kMaxPipelinedRequests = 32;
 
-/// @brief Bytes of requests that are read ahead on a connection; more if the
-/// limit for a request's head is higher.
-inline constexpr std::size_t kReadBufferBytes = std::size_t{64} * 1024;
-
 /// @brief A connection that an HTTP server has accepted, and the requests on it
 /// that have no complete response yet.
 struct HttpConnection {
--- a/src/hemlockpoint/http/message_parser.h
+++ b/src/hemlockpoint/http/message_parser.h
@@ -6,6 +6,11 @@
 
 namespace hemlockpoint::internal {
 
+/// @brief Bytes that are read ahead on a connection; more for requests whose
+/// limit for the head is higher. Also ends messages with an endless chunk
+/// header or trailer, to which the parser applies no limit.
+inline constexpr std::size_t kReadBufferBytes = std::size_t{64} * 1024;
+
 /// @brief Maximum size of the name or the value of a field. Beast stores sizes
 /// in 16 bits and throws if they don't fit.
 inline constexpr std::size_t kMaxFieldBytes = 65'000;
--- a/src/hemlockpoint/relay/request_router_attempts.cc
+++ b/src/hemlockpoint/relay/request_router_attempts.cc
@@ -49,7 +49,8 @@
 constexpr double kOwnRetryRatioShare = 0.85;
 constexpr double kOwnRetrySlackShare = 0.3;
 // A leaving node passes a request on only if it has this multiple of the
-// expected duration left. About twice the mean covers nearly all calls.
+// expected duration left. Durations vary around the expectation, which is a
+// mean.
 constexpr double kStopTimeFactor = 2;
 
 bool IsLackOfCapacity(Reason reason) {
--- a/test/hemlockpoint/http/server_test.cc
+++ b/test/hemlockpoint/http/server_test.cc
@@ -44,6 +44,20 @@
   return count;
 }
 
+// Runs the server until another thread has set `is_done`.
+void RunUntil(const std::atomic<bool>& is_done,
+              FiberLoop& loop,
+              HttpServer& server) {
+  loop.Spawn([&] {
+    while (!is_done) {
+      SleepFor(Millis(5));
+    }
+    server.Drain();
+    loop.Stop();
+  });
+  loop.Run();
+}
+
 // Guards against a server that closes a connection before all requests it has
 // read on it are answered. The handler of the second request calls
 // CloseAfterResponses() while its response waits for the first one. The
@@ -117,14 +131,7 @@
         "GET /third HTTP/1.1\r\nHost: a\r\n\r\n");
     is_done = true;
   });
-  loop.Spawn([&] {
-    while (!is_done) {
-      SleepFor(Millis(5));
-    }
-    server.Drain();
-    loop.Stop();
-  });
-  loop.Run();
+  RunUntil(is_done, loop, server);
   client.join();
   EXPECT_EQ(CountOccurrences(responses, "HTTP/1.1 200"), 1U) << responses;
   EXPECT_NE(responses.find("/first"), std::string::npos) << responses;
@@ -241,14 +248,7 @@
                                "\r\n\r\n");
     is_done = true;
   });
-  loop.Spawn([&] {
-    while (!is_done) {
-      SleepFor(Millis(5));
-    }
-    server.Drain();
-    loop.Stop();
-  });
-  loop.Run();
+  RunUntil(is_done, loop, server);
   client.join();
   EXPECT_NE(long_field.find(" 431 "), std::string::npos) << long_field;
   EXPECT_NE(long_name.find(" 431 "), std::string::npos) << long_name;
@@ -284,14 +284,7 @@
     written = client.SendUntilClosed(std::string(16384, 'a'), kGiveUpBytes);
     is_done = true;
   });
-  loop.Spawn([&] {
-    while (!is_done) {
-      SleepFor(Millis(5));
-    }
-    server.Drain();
-    loop.Stop();
-  });
-  loop.Run();
+  RunUntil(is_done, loop, server);
   client.join();
   EXPECT_FALSE(is_body_read);
   EXPECT_LT(written, kMaxWrittenBytes);
