--- a/test/hemlockpoint/control/control_service_test.cc
+++ b/test/hemlockpoint/control/control_service_test.cc
@@ -3,27 +3,19 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <filesystem>
 #include <variant>
 
+#include "support/link_pair.h"
+
 namespace hemlockpoint {
 namespace {
 
-namespace asio = boost::asio;
 namespace fs = std::filesystem;
 
 const char* const kAddress = "127.0.90.1";
 const ServiceName kStock("stock");
 
-Hello MakeHello(const std::string& node) {
-  Hello hello;
-  hello.m_group = "test";
-  hello.m_node = NodeId(node);
-  hello.m_incarnation = 1;
-  return hello;
-}
-
 // A group of one control host, and a node that sends it heartbeats.
 class ControlServiceTest : public testing::Test {
  protected:
@@ -56,15 +48,12 @@
   ~ControlServiceTest() override { fs::remove_all(m_folder); }
 
   Settings MakeSettings() {
-    asio::io_context io;
-    const asio::ip::tcp::acceptor free_port(
-        io, {asio::ip::make_address(kAddress), 0});
     Settings settings;
     settings.m_node = NodeId("c1");
     settings.m_group = "test";
     settings.m_is_control = true;
     settings.m_mode = ServingMode::kRoutes;
-    settings.m_peer = {kAddress, free_port.local_endpoint().port()};
+    settings.m_peer = FreeEndpoint(kAddress);
     settings.m_seeds = {settings.m_peer};
     settings.m_may_form_group = true;
     settings.m_data_folder = m_folder.string();
--- a/test/hemlockpoint/http/server_test.cc
+++ b/test/hemlockpoint/http/server_test.cc
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "hemlockpoint/runtime/fiber_event.h"
+#include "support/free_endpoint.h"
 
 namespace hemlockpoint {
 namespace {
@@ -19,7 +20,9 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-const Endpoint kServerEndpoint{"127.0.89.1", 7891};
+// Tests run as processes of their own at the same time, so each takes a free
+// port.
+const Endpoint kServerEndpoint = FreeEndpoint("127.0.89.1");
 
 // Sends bytes on one connection and returns all bytes received until the server
 // closes it.
--- a/test/support/link_pair.h
+++ b/test/support/link_pair.h
@@ -3,24 +3,16 @@
 
 #include <gtest/gtest.h>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "hemlockpoint/transport/link_manager.h"
+#include "support/free_endpoint.h"
 
 namespace hemlockpoint {
 
-/// @return A local endpoint with a port that is free.
-inline Endpoint FreeEndpoint(const std::string& address) {
-  boost::asio::io_context io;
-  const boost::asio::ip::tcp::acceptor acceptor(
-      io, {boost::asio::ip::make_address(address), 0});
-  return {address, acceptor.local_endpoint().port()};
-}
-
 inline Hello MakeHello(const std::string& node) {
   Hello hello;
   hello.m_group = "test";
