Reserve the loopback addresses of scenarios and soak runs

Its control host couldn't be reached.

Cause: a scenario chose the second byte of its addresses by its process id modulo 200, and process ids advance by hundreds while a scenario runs, since it starts curl and hemlockctl. Two scenarios could have the same addresses; the soak's addresses lay in the same range.

Evidence: with a second scenario at the same addresses that ends 0.4 s after the first one has started, the first one fails with exactly this message, and its control host logs start_failed, "cannot listen for peers". The logs of the failed run are gone, so that it was this collision is inferred from the message. Ruled out as far as runs go: a daemon that is slow or fails to start; 200 starts, 8 at a time beside a busy machine, formed their group within 0.65 s.

Each program now reserves a network by a bound socket that its daemons inherit, so that daemons that outlive a killed parent keep it too.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -52,7 +52,8 @@
         self.is_first_start = False
         log = open(f"{self.cluster.folder}/{self.name}.log", "a")
         self.process = subprocess.Popen([self.cluster.binary, "--settings", path],
-                                        stdout=log, stderr=log)
+                                        stdout=log, stderr=log,
+                                        pass_fds=self.cluster.network.inherited)
         log.close()
         self.started_at = time.monotonic()
         self.is_end_expected = False
@@ -139,22 +140,22 @@
 
 
 class Cluster:
-    """All daemons of a run. `subnet` is the first two bytes of their addresses."""
+    """All daemons of a run, at addresses of `network`."""
 
-    def __init__(self, folder, binary, subnet):
+    def __init__(self, folder, binary, network):
         self.folder = folder
         self.binary = binary
-        self.subnet = subnet
+        self.network = network
         os.makedirs(folder, exist_ok=True)
-        self.seeds = [f"{subnet}.2.{i + 1}:7001" for i in range(CONTROL_HOSTS)]
-        self.controls = [ControlHost(self, f"control-{i + 1}", f"{subnet}.1.{i + 1}",
-                                     f"{subnet}.2.{i + 1}")
+        self.seeds = [f"{self.network.prefix}.2.{i + 1}:7001" for i in range(CONTROL_HOSTS)]
+        self.controls = [ControlHost(self, f"control-{i + 1}", f"{self.network.prefix}.1.{i + 1}",
+                                     f"{self.network.prefix}.2.{i + 1}")
                          for i in range(CONTROL_HOSTS)]
         self.nodes = []
 
     def add_node(self, number, service, target):
-        node = Node(self, f"node-{number}", f"{self.subnet}.3.{number}",
-                    f"{self.subnet}.4.{number}", service, target)
+        node = Node(self, f"node-{number}", f"{self.network.prefix}.3.{number}",
+                    f"{self.network.prefix}.4.{number}", service, target)
         self.nodes.append(node)
         return node
 
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -31,11 +31,11 @@
     """One run. With `planned_only`, all injected operations are planned: stops, drains,
     reloads. With `timeless`, rules with a time bound aren't checked."""
 
-    def __init__(self, seed, folder, binary, subnet, planned_only, timeless):
+    def __init__(self, seed, folder, binary, network, planned_only, timeless):
         self.timeless = timeless
         self.rng = random.Random(seed)
         self.planned_only = planned_only
-        self.cluster = Cluster(folder, binary, subnet)
+        self.cluster = Cluster(folder, binary, network)
         self.checker = Checker({prefix: {service} for prefix, (_, service, _) in ROUTES.items()},
                                timeless)
         self.targets = []
@@ -61,7 +61,8 @@
         for service in SERVICES:
             for _ in range(2):
                 number += 1
-                real, public = f"{subnet}.5.{number}:8000", f"{subnet}.6.{number}:8000"
+                real = f"{network.prefix}.5.{number}:8000"
+                public = f"{network.prefix}.6.{number}:8000"
                 node = self.cluster.add_node(number, service, public)
                 self.target_proxies.append(Proxy(public, real))
                 self.targets.append(Target(f"t{number}", service, f"d{number}", real, public,
--- a/testing/scenario/scenario.py
+++ b/testing/scenario/scenario.py
@@ -21,6 +21,10 @@
 import urllib.error
 import urllib.request
 
+sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+
+from loopback import reserve_network  # noqa: E402
+
 ADMIN_TOKEN = "admin-token"
 POLL_SECONDS = 0.1
 
@@ -62,8 +66,7 @@
     def __init__(self, build, path):
         self.build = build
         self.path = path
-        # Second byte of the loopback addresses; differs between scenarios that run in parallel.
-        self.second_byte = 20 + os.getpid() % 200
+        self.network = reserve_network()
         self.dir = f"/tmp/hemlockpoint-scenario-{os.getpid()}"
         subprocess.run(["rm", "-rf", self.dir], check=True)
         os.makedirs(self.dir)
@@ -75,14 +78,15 @@
     # Addresses.
     def address(self, name):
         if name in self.controls:
-            return f"127.{self.second_byte}.1.{self.controls.index(name) + 1}"
+            return f"{self.network.prefix}.1.{self.controls.index(name) + 1}"
         if name in self.nodes:
-            return f"127.{self.second_byte}.2.{list(self.nodes).index(name) + 1}"
+            return f"{self.network.prefix}.2.{list(self.nodes).index(name) + 1}"
         raise Fault(f"no such process: {name}")
 
     def spawn(self, key, command):
         log = open(f"{self.dir}/{key}.log", "a")
-        self.processes[key] = subprocess.Popen(command, stdout=log, stderr=log)
+        self.processes[key] = subprocess.Popen(command, stdout=log, stderr=log,
+                                               pass_fds=self.network.inherited)
 
     # Processes.
     def write_settings(self, name):
@@ -478,6 +482,7 @@
             if process.poll() is None:
                 process.kill()
                 process.wait()
+        self.network.close()
 
 
 def main():
