Don't take a new connection for an idle one

Cause: the check for idle connections compares the time since which a connection is idle. That time was set by the connection's fiber, and was 0 if the check came between the accept and the fiber's first turn.

Links between nodes set their times when they are opened, so they are not affected.

HttpServer.ANewConnectionIsNotIdle failed before.

--- a/src/hemlockpoint/http/connection.h
+++ b/src/hemlockpoint/http/connection.h
@@ -64,7 +64,7 @@
   boost::beast::flat_buffer m_buffer;
   /// When the connection is closed if the head being read is still incomplete.
   Millis m_head_deadline{1e300};
-  /// When the last response ended.
+  /// When the last response ended, or the connection was accepted.
   Millis m_idle_since;
   /// Index of the next request to read.
   RequestIndex m_next_request = 0;
--- a/src/hemlockpoint/http/server.cc
+++ b/src/hemlockpoint/http/server.cc
@@ -77,6 +77,7 @@
       return;
     }
     m_connections.insert(connection);
+    connection->m_idle_since = SteadyNow();
     connection->m_close_after_response = m_close_after_responses;
     m_loop.Spawn([self = shared_from_this(), connection] {
       self->Serve(connection);
@@ -120,7 +121,6 @@
     ErrorCode ignored;
     connection->m_socket.set_option(tcp::no_delay(true), ignored);
     connection->m_socket.non_blocking(true, ignored);
-    connection->m_idle_since = SteadyNow();
     bool can_read_more = true;
     while (can_read_more && !connection->m_is_closing) {
       can_read_more = ReadNextRequest(connection);
--- a/test/hemlockpoint/http/server_test.cc
+++ b/test/hemlockpoint/http/server_test.cc
@@ -6,8 +6,10 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <string>
 #include <thread>
 
@@ -259,6 +261,42 @@
   EXPECT_EQ(handled, 1);
 }
 
+// Guards against a server that resets a new connection because the check for
+// idle connections comes before the connection's fiber has run. The handler on
+// the loop makes both due in one turn, the accept first.
+TEST(HttpServer, ANewConnectionIsNotIdle) {
+  constexpr std::chrono::milliseconds kLongerThanTheCheckPeriod(700);
+  FiberLoop loop;
+  HttpServerLimits limits;
+  limits.m_idle_timeout = Millis(5000);
+  HttpServer server(loop, limits, [&](HttpExchange& exchange) {
+    HttpResponseHead head;
+    head.m_status = 200;
+    (void)exchange.Respond(head, "");
+  });
+  ASSERT_FALSE(server.Listen(kServerEndpoint));
+  std::atomic<bool> is_loop_held{false};
+  std::atomic<bool> is_done{false};
+  loop.Spawn([&] {
+    asio::post(loop.io(), [&] {
+      is_loop_held = true;
+      std::this_thread::sleep_for(kLongerThanTheCheckPeriod);
+    });
+  });
+  std::string response;
+  std::thread client([&] {
+    while (!is_loop_held) {
+      std::this_thread::yield();
+    }
+    response = SendAndReceive(
+        "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    is_done = true;
+  });
+  RunUntil(is_done, loop, server);
+  client.join();
+  EXPECT_NE(response.find(" 200 "), std::string::npos) << response;
+}
+
 class EndlessChunkOfAClient : public ::testing::TestWithParam<const char*> {};
 
 // Guards against a client that makes the server buffer bytes which are no part
