Count a request whose head is being read as unanswered

In a planned stop, a request that arrived on a kept connection at the moment at which the node closed its idle connections, or decided to exit, was cut off without an answer. Found while searching for what users saw three times on their machines, without logs; that this was their case is only suspected.

Cause: a read that has begun takes the bytes of a request from the socket at once, but they count as buffered only once its completion has run. In between HasUnansweredRequest() saw neither. The check for idle connections looked at the buffer only, so after a stall of the process it closed connections whose next request had arrived.

A connection whose head is being read now has an unanswered request, and the check for idle connections asks the same question as the stop.

--- a/src/hemlockpoint/http/connection.cc
+++ b/src/hemlockpoint/http/connection.cc
@@ -33,11 +33,18 @@
   if (m_is_disconnected || m_is_closing) {
     return pending_responses() > 0;
   }
+  // Bytes of a head that is being read may be in neither the socket nor the
+  // buffer: they are added to the buffer once the read has completed.
   ErrorCode ignored;
-  return pending_responses() > 0 || m_buffer.size() > 0 ||
+  return pending_responses() > 0 || m_head_deadline || m_buffer.size() > 0 ||
          m_socket.available(ignored) > 0;
 }
 
+bool HttpConnection::IsIdleLongerThan(Millis timeout) const {
+  return timeout > Millis(0) && SteadyNow() - m_idle_since > timeout &&
+         !HasUnansweredRequest();
+}
+
 void HttpConnection::OnDisconnected() {
   m_is_disconnected = true;
   auto callbacks = std::move(m_disconnect_callbacks);
--- a/src/hemlockpoint/http/connection.h
+++ b/src/hemlockpoint/http/connection.h
@@ -34,6 +34,10 @@
   /// response yet.
   [[nodiscard]] bool HasUnansweredRequest() const;
 
+  /// @return Whether the client has sent no request for longer than `timeout`;
+  /// false if that is 0.
+  [[nodiscard]] bool IsIdleLongerThan(Millis timeout) const;
+
   /// @brief Records that either side has closed the connection, or that reading
   /// from it failed, and calls the disconnect callbacks of all requests.
   void OnDisconnected();
@@ -62,8 +66,9 @@
 
   boost::asio::ip::tcp::socket m_socket;
   boost::beast::flat_buffer m_buffer;
-  /// When the connection is closed if the head being read is still incomplete.
-  Millis m_head_deadline{1e300};
+  /// When the connection is closed if the head being read is still incomplete;
+  /// nullopt while no head is being read.
+  std::optional<Millis> m_head_deadline;
   /// When the last response ended, or the connection was accepted.
   Millis m_idle_since;
   /// Index of the next request to read.
--- a/src/hemlockpoint/http/server.cc
+++ b/src/hemlockpoint/http/server.cc
@@ -154,7 +154,7 @@
     auto exchange = std::make_shared<ServerExchange>(connection, m_limits);
     connection->m_head_deadline = SteadyNow() + m_limits.m_head_timeout;
     const ErrorCode error = exchange->ReadRequestHead();
-    connection->m_head_deadline = Millis(1e300);
+    connection->m_head_deadline.reset();
     if (error) {
       RespondToHeadError(*connection, error);
       return false;
@@ -242,12 +242,10 @@
   void CloseTimedOut() {
     const Millis now = SteadyNow();
     for (const auto& connection : m_connections) {
-      const bool is_idle_too_long =
-          connection->pending_responses() == 0 &&
-          connection->m_buffer.size() == 0 &&
-          m_limits.m_idle_timeout > Millis(0) &&
-          now - connection->m_idle_since > m_limits.m_idle_timeout;
-      if (is_idle_too_long || connection->m_head_deadline < now) {
+      const bool is_head_late =
+          connection->m_head_deadline && *connection->m_head_deadline < now;
+      if (is_head_late ||
+          connection->IsIdleLongerThan(m_limits.m_idle_timeout)) {
         connection->Close();
       }
     }
--- a/test/hemlockpoint/http/server_test.cc
+++ b/test/hemlockpoint/http/server_test.cc
@@ -261,6 +261,79 @@
   EXPECT_EQ(handled, 1);
 }
 
+// Guards against a request that is lost because the server is drained between
+// the read of its first bytes and the turn of its connection's fiber. The
+// handler on the loop makes the connection's fiber and this one ready in one
+// turn, the connection's first.
+TEST(HttpServer, DrainAnswersARequestWhoseHeadIsBeingRead) {
+  constexpr std::chrono::milliseconds kLongerThanTheSleep(30);
+  FiberLoop loop;
+  HttpServer server(loop, HttpServerLimits(), [&](HttpExchange& exchange) {
+    HttpResponseHead head;
+    head.m_status = 200;
+    (void)exchange.Respond(head, exchange.head().m_path);
+  });
+  ASSERT_FALSE(server.Listen(kServerEndpoint));
+  std::string response;
+  loop.Spawn([&] {
+    RawClient client;
+    while (server.connections() < 1) {
+      SleepFor(Millis(5));
+    }
+    SleepFor(Millis(20));
+    asio::post(loop.io(), [&] {
+      client.Send("GET /kept HTTP/1.1\r\nHost: a\r\n\r\n");
+      std::this_thread::sleep_for(kLongerThanTheSleep);
+    });
+    SleepFor(Millis(10));
+    EXPECT_TRUE(server.HasUnansweredRequests());
+    server.Drain();
+    while (server.HasUnansweredRequests()) {
+      SleepFor(Millis(5));
+    }
+    response = client.ReceiveAll();
+    loop.Stop();
+  });
+  loop.Run();
+  EXPECT_NE(response.find("/kept"), std::string::npos) << response;
+}
+
+// Guards against a kept connection that is closed as idle although its next
+// request has arrived, because the process was stalled until the idle time was
+// over.
+TEST(HttpServer, ARequestThatArrivesDuringAStallIsAnswered) {
+  constexpr std::chrono::milliseconds kStall(700);
+  FiberLoop loop;
+  HttpServerLimits limits;
+  limits.m_idle_timeout = Millis(300);
+  HttpServer server(loop, limits, [&](HttpExchange& exchange) {
+    HttpResponseHead head;
+    head.m_status = 200;
+    (void)exchange.Respond(head, exchange.head().m_path);
+  });
+  ASSERT_FALSE(server.Listen(kServerEndpoint));
+  std::string response;
+  loop.Spawn([&] {
+    RawClient client;
+    while (server.connections() < 1) {
+      SleepFor(Millis(5));
+    }
+    SleepFor(Millis(20));
+    asio::post(loop.io(), [&] {
+      client.Send("GET /kept HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+      std::this_thread::sleep_for(kStall);
+    });
+    while (server.connections() > 0) {
+      SleepFor(Millis(5));
+    }
+    response = client.ReceiveAll();
+    server.Drain();
+    loop.Stop();
+  });
+  loop.Run();
+  EXPECT_NE(response.find("/kept"), std::string::npos) << response;
+}
+
 // Guards against a server that resets a new connection because the check for
 // idle connections comes before the connection's fiber has run. The handler on
 // the loop makes both due in one turn, the accept first.
