Wait for late reports to end before using a contradicted target

A node acknowledged that its target leaves, and was stopped and started again.

Cause: a new process uses the first report of its target if a health check doesn't contradict it, and after two contradicted reports the third one all the same. As many reports can be late as the target sends within their delay.

Reports must now keep coming for more than 10 s after the first contradicted one. A target with a wrong health check is used that much later after a restart of its node; weighed against keeping drains in the control group, which costs a commit for each target that leaves.

RestartedNode.UsesATargetWithAWrongHealthCheckThatKeepsReporting used to send three reports, which is what made the fault; it now sends them for longer than the delay and still expects that the target is used.

RestartedNode.DoesNotUseATargetThatHasLeftAfterManyLateReports failed before.

--- a/src/hemlockpoint/relay/slot_dispatcher_health.cc
+++ b/src/hemlockpoint/relay/slot_dispatcher_health.cc
@@ -113,7 +113,7 @@
     if (m_has_known_target || m_context.m_loop.stopping()) {
       return;
     }
-    if (IsConfirmed(m_confirmation, answer)) {
+    if (IsConfirmed(m_confirmation, answer, SteadyNow())) {
       UseTargetReport(m_unconfirmed_report);
       return;
     }
--- a/src/hemlockpoint/relay/target_report.cc
+++ b/src/hemlockpoint/relay/target_report.cc
@@ -19,13 +19,18 @@
          unix_now_ms + static_cast<double>(kMaxClockDifferenceMillis);
 }
 
-bool IsConfirmed(ReportConfirmation& confirmation, HealthAnswer answer) {
+bool IsConfirmed(ReportConfirmation& confirmation,
+                 HealthAnswer answer,
+                 Millis now) {
   const bool is_contradicted = answer == HealthAnswer::kNotServing ||
                                answer == HealthAnswer::kOtherIncarnation;
   if (!is_contradicted) {
     return true;
   }
-  return ++confirmation.m_contradictions > kMaxContradictions;
+  if (!confirmation.m_contradicted_since) {
+    confirmation.m_contradicted_since = now;
+  }
+  return now - *confirmation.m_contradicted_since > kMaxReportDelay;
 }
 
 ReportEffect ApplyReport(KnownTarget& known_target,
--- a/src/hemlockpoint/relay/target_report.h
+++ b/src/hemlockpoint/relay/target_report.h
@@ -77,19 +77,22 @@
 /// @brief First reports of a target that a new process of the node has not
 /// confirmed yet.
 struct ReportConfirmation {
-  /// Health checks that contradicted a report.
-  unsigned m_contradictions = 0;
+  /// When a health check first contradicted a report.
+  std::optional<Millis> m_contradicted_since;
 };
 
-/// @brief Number of reports in a row that a health check may contradict. Health
-/// checks can be wrong, so a target that keeps reporting is used after that.
-inline constexpr unsigned kMaxContradictions = 2;
+/// @brief How long after a target has left its reports may still arrive.
+inline constexpr Millis kMaxReportDelay{10'000};
 
 /// @brief Decides whether the first report of a target may be used. The former
-/// process of the node may have acknowledged that the target leaves, and a
-/// report from before that may arrive late.
+/// process of the node may have acknowledged that the target leaves, and
+/// reports from before that may arrive late. Health checks can be wrong, so a
+/// target whose reports keep coming for longer than kMaxReportDelay is used all
+/// the same.
+/// @param answer Answer to a health check after the report's arrival.
 [[nodiscard]] bool IsConfirmed(ReportConfirmation& confirmation,
-                               HealthAnswer answer);
+                               HealthAnswer answer,
+                               Millis now);
 
 /// @brief Applies a report. A later start time supersedes an earlier one;
 /// within an incarnation, a higher sequence supersedes a lower one.
--- a/test/hemlockpoint/relay/target_report_test.cc
+++ b/test/hemlockpoint/relay/target_report_test.cc
@@ -97,5 +97,25 @@
   EXPECT_EQ(Apply(known_target, MakeReport("a", 5, 1)), ReportEffect::kIgnored);
 }
 
+// Guards against a target that has left and is used again by a new process of
+// its node, because reports from before arrive as long as they can be delayed.
+TEST(ReportConfirmation, LateReportsOfATargetThatHasLeftAreNotConfirmed) {
+  ReportConfirmation confirmation;
+  const Millis start(5000);
+  for (Millis age; age <= kMaxReportDelay; age += Millis(500)) {
+    EXPECT_FALSE(
+        IsConfirmed(confirmation, HealthAnswer::kNotServing, start + age));
+  }
+  EXPECT_TRUE(IsConfirmed(confirmation, HealthAnswer::kNotServing,
+                          start + kMaxReportDelay + Millis(1)));
+}
+
+TEST(ReportConfirmation, AHealthCheckConfirmsAReportAfterAContradiction) {
+  ReportConfirmation confirmation;
+  EXPECT_FALSE(
+      IsConfirmed(confirmation, HealthAnswer::kOtherIncarnation, Millis(5000)));
+  EXPECT_TRUE(IsConfirmed(confirmation, HealthAnswer::kServing, Millis(5001)));
+}
+
 }  // namespace
 }  // namespace hemlockpoint
--- a/test/platform/target_exchange_test.cc
+++ b/test/platform/target_exchange_test.cc
@@ -407,6 +407,9 @@
 
 class RestartedNode : public TargetExchange {
  protected:
+  // Long enough for a health check on the loopback interface.
+  static constexpr Millis kReportPeriod{100};
+
   // Sends `reports` ready reports to a node whose target answers its health
   // checks with the status line. Returns whether the node then uses the target.
   bool UsesTarget(const std::string& status_line, unsigned reports) {
@@ -428,8 +431,7 @@
         TargetReport other = report;
         other.m_service = ServiceName("other");
         m_dispatcher.HandleTargetReport(other);
-        // Long enough for a health check on the loopback interface.
-        SleepFor(Millis(100));
+        SleepFor(kReportPeriod);
       }
       m_loop.Stop();
     });
@@ -448,8 +450,16 @@
   EXPECT_TRUE(UsesTarget("200 OK", 1));
 }
 
+// Guards against a target that is used again because several of its reports
+// from before its leave arrive late.
+TEST_F(RestartedNode, DoesNotUseATargetThatHasLeftAfterManyLateReports) {
+  EXPECT_FALSE(UsesTarget("503 Draining", 20));
+}
+
 TEST_F(RestartedNode, UsesATargetWithAWrongHealthCheckThatKeepsReporting) {
-  EXPECT_TRUE(UsesTarget("503 Failing", kMaxContradictions + 1));
+  const auto reports =
+      static_cast<unsigned>(kMaxReportDelay / kReportPeriod) + 5;
+  EXPECT_TRUE(UsesTarget("503 Failing", reports));
 }
 
 TEST_F(RestartedNode, UsesATargetThatIsTooBusyForAHealthCheck) {
