Acknowledge a target's leave only if it is acted on

Cause: reports of an incarnation with an earlier start were ignored as late, and acknowledged whatever their effect.

Such an incarnation is now used once the current one has sent no report for longer than reports can be delayed. Until then its reports and its withdrawal get 503. TargetReport.IgnoresIncarnationWithEarlierStart expected kIgnored, which now means that the report is acknowledged; it expects kUnresolved.

TargetReport.UsesIncarnationWithEarlierStartOnceTheCurrentOneIsSilent and WithdrawalWithEarlierStartIsUnresolved failed with the former decisions put back. Not run with processes.

--- a/src/hemlockpoint/relay/protocol_adapter.h
+++ b/src/hemlockpoint/relay/protocol_adapter.h
@@ -63,8 +63,10 @@
 /// through the external listener. Operations of a role that the process does
 /// not have are empty.
 struct ExternalOperations {
-  std::function<void(const TargetReport&)> m_report;
-  std::function<void(const TargetWithdrawal&)> m_withdraw;
+  /// Returns whether the report may be acknowledged.
+  std::function<bool(const TargetReport&)> m_report;
+  /// Returns whether the withdrawal may be acknowledged.
+  std::function<bool(const TargetWithdrawal&)> m_withdraw;
   std::function<DocumentOutcome(DocumentChange)> m_change_document;
   std::function<DocumentOutcome()> m_read_document;
 };
--- a/src/hemlockpoint/relay/relay_node.cc
+++ b/src/hemlockpoint/relay/relay_node.cc
@@ -300,10 +300,10 @@
     ExternalOperations operations;
     if (m_context.m_settings.m_is_node) {
       operations.m_report = [this](const TargetReport& report) {
-        m_dispatcher.HandleTargetReport(report);
+        return m_dispatcher.HandleTargetReport(report);
       };
       operations.m_withdraw = [this](const TargetWithdrawal& withdrawal) {
-        m_dispatcher.HandleTargetWithdrawal(withdrawal);
+        return m_dispatcher.HandleTargetWithdrawal(withdrawal);
       };
     }
     if (m_control) {
--- a/src/hemlockpoint/relay/slot_dispatcher.cc
+++ b/src/hemlockpoint/relay/slot_dispatcher.cc
@@ -51,12 +51,12 @@
 
 SlotDispatcher::~SlotDispatcher() = default;
 
-void SlotDispatcher::HandleTargetReport(const TargetReport& report) {
+bool SlotDispatcher::HandleTargetReport(const TargetReport& report) {
   if (IsStartInFuture(report, UnixMillis())) {
     LogLine(LogLevel::kWarning, "report_implausible")
         .With("instance", report.m_instance)
         .With("born", report.m_started_unix_ms);
-    return;
+    return true;
   }
   const TargetSettings& place = m_context.m_settings.m_target;
   // An entry of another writer must not replace the target's own report.
@@ -67,18 +67,25 @@
   if (needs_confirmation) {
     m_unconfirmed_report = report;
     ConfirmReport();
-    return;
+    return true;
   }
-  UseTargetReport(report);
+  return UseTargetReport(report) != ReportEffect::kUnresolved;
 }
 
-void SlotDispatcher::UseTargetReport(const TargetReport& report) {
+ReportEffect SlotDispatcher::UseTargetReport(const TargetReport& report) {
   const Settings& settings = m_context.m_settings;
   const ReportEffect effect =
       ApplyReport(m_known_target, report, settings.m_target.m_service,
-                  settings.m_target.m_endpoint);
+                  settings.m_target.m_endpoint, SteadyNow());
+  if (effect == ReportEffect::kUnresolved) {
+    LogLine(LogLevel::kWarning, "report_unresolved")
+        .With("instance", report.m_instance)
+        .With("born", report.m_started_unix_ms)
+        .With("current_born", m_known_target.m_current->m_started_unix_ms);
+    return effect;
+  }
   if (effect == ReportEffect::kIgnored || effect == ReportEffect::kUpdated) {
-    return;
+    return effect;
   }
   m_has_known_target = true;
   LogLine(LogLevel::kInfo,
@@ -108,12 +115,14 @@
     m_change_handler();
   }
   GrantFreeSlots();
+  return effect;
 }
 
-void SlotDispatcher::HandleTargetWithdrawal(
+bool SlotDispatcher::HandleTargetWithdrawal(
     const TargetWithdrawal& withdrawal) {
-  if (!ApplyWithdrawal(m_known_target, withdrawal)) {
-    return;
+  const WithdrawalEffect effect = ApplyWithdrawal(m_known_target, withdrawal);
+  if (effect != WithdrawalEffect::kLeaving) {
+    return effect == WithdrawalEffect::kRemembered;
   }
   LogLine(LogLevel::kInfo, "target_leaving")
       .With("instance", withdrawal.m_instance)
@@ -122,6 +131,7 @@
   if (m_change_handler) {
     m_change_handler();
   }
+  return true;
 }
 
 void SlotDispatcher::ForgetTarget(const char* reason) {
--- a/src/hemlockpoint/relay/slot_dispatcher.h
+++ b/src/hemlockpoint/relay/slot_dispatcher.h
@@ -37,8 +37,11 @@
 
   /// @brief Takes a report of the target. A new process uses the first one only
   /// after a health check has not contradicted it.
-  void HandleTargetReport(const TargetReport& report);
-  void HandleTargetWithdrawal(const TargetWithdrawal& withdrawal);
+  /// @return Whether it may be acknowledged. An acknowledged report that the
+  /// target leaves must be acted on.
+  [[nodiscard]] bool HandleTargetReport(const TargetReport& report);
+  /// @return Whether it may be acknowledged.
+  [[nodiscard]] bool HandleTargetWithdrawal(const TargetWithdrawal& withdrawal);
 
   /// @brief Queries the target's health path until the target is known. This
   /// covers a restart of the node while its target keeps running. Must run on a
@@ -97,7 +100,7 @@
   void Refuse(DispatchSession& session, Refusal refusal);
   LoadReport MakeLoadReport() const;
   void ForgetTarget(const char* reason);
-  void UseTargetReport(const TargetReport& report);
+  ReportEffect UseTargetReport(const TargetReport& report);
   void ConfirmReport();
   std::optional<HealthResponse> QueryHealth();
   bool ProbeHealthPath();
--- a/src/hemlockpoint/relay/slot_dispatcher_health.cc
+++ b/src/hemlockpoint/relay/slot_dispatcher_health.cc
@@ -84,7 +84,7 @@
   report.m_service = place.m_service;
   report.m_endpoint = place.m_endpoint;
   report.m_slots = metadata.m_load->m_slots;
-  UseTargetReport(report);
+  (void)UseTargetReport(report);
   return true;
 }
 
@@ -114,7 +114,7 @@
       return;
     }
     if (IsConfirmed(m_confirmation, answer, SteadyNow())) {
-      UseTargetReport(m_unconfirmed_report);
+      (void)UseTargetReport(m_unconfirmed_report);
       return;
     }
     LogLine(LogLevel::kWarning, "report_contradicted")
--- a/src/hemlockpoint/relay/target_report.cc
+++ b/src/hemlockpoint/relay/target_report.cc
@@ -36,7 +36,8 @@
 ReportEffect ApplyReport(KnownTarget& known_target,
                          const TargetReport& report,
                          const ServiceName& service,
-                         const Endpoint& endpoint) {
+                         const Endpoint& endpoint,
+                         Millis now) {
   if (report.m_service != service || !(report.m_endpoint == endpoint) ||
       IsWithdrawn(known_target, report)) {
     return ReportEffect::kIgnored;
@@ -47,14 +48,16 @@
       (current->m_started_unix_ms == report.m_started_unix_ms ||
        current->m_started_unix_ms == 0 || report.m_started_unix_ms == 0);
   if (current && !is_same && report.m_started_unix_ms != 0 &&
-      report.m_started_unix_ms < current->m_started_unix_ms) {
-    return ReportEffect::kIgnored;
+      report.m_started_unix_ms < current->m_started_unix_ms &&
+      now - known_target.m_current_at <= kMaxReportDelay) {
+    return ReportEffect::kUnresolved;
   }
   if (is_same && report.m_sequence <= current->m_sequence) {
     return ReportEffect::kIgnored;
   }
   const bool was_leaving = known_target.m_leaving;
   known_target.m_current = report;
+  known_target.m_current_at = now;
   // An incarnation that has started to leave never returns to service.
   known_target.m_leaving = report.m_draining || (is_same && was_leaving);
   if (!is_same) {
@@ -64,22 +67,25 @@
                                                 : ReportEffect::kUpdated;
 }
 
-bool ApplyWithdrawal(KnownTarget& known_target,
-                     const TargetWithdrawal& withdrawal) {
+WithdrawalEffect ApplyWithdrawal(KnownTarget& known_target,
+                                 const TargetWithdrawal& withdrawal) {
   const auto& current = known_target.m_current;
   const bool is_outdated =
       current && withdrawal.m_started_unix_ms != 0 &&
       withdrawal.m_started_unix_ms < current->m_started_unix_ms;
+  const bool is_same_instance =
+      current && current->m_instance == withdrawal.m_instance;
   if (is_outdated) {
-    return false;
+    return is_same_instance ? WithdrawalEffect::kUnresolved
+                            : WithdrawalEffect::kRemembered;
   }
   known_target.m_last_withdrawal = withdrawal;
-  if (!current || current->m_instance != withdrawal.m_instance) {
-    return false;
+  if (!is_same_instance) {
+    return WithdrawalEffect::kRemembered;
   }
   known_target.m_last_withdrawal.m_started_unix_ms = current->m_started_unix_ms;
   known_target.m_leaving = true;
-  return true;
+  return WithdrawalEffect::kLeaving;
 }
 
 }  // namespace hemlockpoint
--- a/src/hemlockpoint/relay/target_report.h
+++ b/src/hemlockpoint/relay/target_report.h
@@ -40,6 +40,8 @@
 struct KnownTarget {
   /// Latest report of the current incarnation.
   std::optional<TargetReport> m_current;
+  /// When m_current arrived.
+  Millis m_current_at;
   /// The current incarnation is draining or has withdrawn.
   bool m_leaving = false;
   /// Most recent withdrawal; delayed reports of that incarnation are ignored.
@@ -51,6 +53,9 @@
   /// The report is outdated, names another service or endpoint, or comes from
   /// a withdrawn incarnation.
   kIgnored,
+  /// The report is of an incarnation that states an earlier start. It is late,
+  /// or the clock has been set back before that incarnation started.
+  kUnresolved,
   kUpdated,
   kNewIncarnation,
   kLeaving,
@@ -95,18 +100,30 @@
                                Millis now);
 
 /// @brief Applies a report. A later start time supersedes an earlier one;
-/// within an incarnation, a higher sequence supersedes a lower one.
+/// within an incarnation, a higher sequence supersedes a lower one. An earlier
+/// start time supersedes a later one whose reports stopped so long ago that the
+/// earlier one's can't be late.
 /// @param service Configured service of the node's target.
 /// @param endpoint Configured endpoint of the node's target.
 ReportEffect ApplyReport(KnownTarget& known_target,
                          const TargetReport& report,
                          const ServiceName& service,
-                         const Endpoint& endpoint);
+                         const Endpoint& endpoint,
+                         Millis now);
+
+/// @brief Effect of a withdrawal on the known target.
+enum class WithdrawalEffect : unsigned char {
+  /// The current incarnation is another one, or unknown.
+  kRemembered,
+  /// The withdrawal states an earlier start than the current incarnation with
+  /// the same instance id; see ReportEffect::kUnresolved.
+  kUnresolved,
+  kLeaving,
+};
 
 /// @brief Applies a withdrawal.
-/// @return Whether it marked the current incarnation as leaving.
-bool ApplyWithdrawal(KnownTarget& known_target,
-                     const TargetWithdrawal& withdrawal);
+WithdrawalEffect ApplyWithdrawal(KnownTarget& known_target,
+                                 const TargetWithdrawal& withdrawal);
 
 }  // namespace hemlockpoint
 
--- a/test/hemlockpoint/relay/target_report_test.cc
+++ b/test/hemlockpoint/relay/target_report_test.cc
@@ -21,8 +21,10 @@
   return report;
 }
 
-ReportEffect Apply(KnownTarget& known_target, const TargetReport& report) {
-  return ApplyReport(known_target, report, kService, kEndpoint);
+ReportEffect Apply(KnownTarget& known_target,
+                   const TargetReport& report,
+                   Millis now = Millis(0)) {
+  return ApplyReport(known_target, report, kService, kEndpoint, now);
 }
 
 TEST(TargetReport, IgnoresOutdatedReports) {
@@ -33,14 +35,41 @@
   EXPECT_EQ(Apply(known_target, MakeReport("a", 5, 3)), ReportEffect::kUpdated);
 }
 
-TEST(TargetReport, IgnoresIncarnationWithEarlierStart) {
+TEST(TargetReport, DoesNotUseIncarnationWithEarlierStart) {
   KnownTarget known_target;
   (void)Apply(known_target, MakeReport("new", 9, 1));
   EXPECT_EQ(Apply(known_target, MakeReport("old", 5, 100)),
-            ReportEffect::kIgnored);
+            ReportEffect::kUnresolved);
   EXPECT_EQ(known_target.m_current->m_instance, "new");
 }
 
+// Guards against a target whose leave is acknowledged and ignored, because its
+// host's clock was set back before it started again under its former id.
+TEST(TargetReport, UsesIncarnationWithEarlierStartOnceTheCurrentOneIsSilent) {
+  KnownTarget known_target;
+  const Millis silent_since(1000);
+  (void)Apply(known_target, MakeReport("a", 9, 50), silent_since);
+  EXPECT_EQ(Apply(known_target, MakeReport("a", 5, 1),
+                  silent_since + kMaxReportDelay),
+            ReportEffect::kUnresolved);
+  EXPECT_EQ(Apply(known_target, MakeReport("a", 5, 2),
+                  silent_since + kMaxReportDelay + Millis(1)),
+            ReportEffect::kNewIncarnation);
+  TargetReport draining = MakeReport("a", 5, 3);
+  draining.m_draining = true;
+  EXPECT_EQ(
+      Apply(known_target, draining, silent_since + kMaxReportDelay + Millis(2)),
+      ReportEffect::kLeaving);
+}
+
+TEST(TargetReport, WithdrawalWithEarlierStartIsUnresolved) {
+  KnownTarget known_target;
+  (void)Apply(known_target, MakeReport("a", 9, 1));
+  EXPECT_EQ(ApplyWithdrawal(known_target, {"a", 5}),
+            WithdrawalEffect::kUnresolved);
+  EXPECT_FALSE(known_target.m_leaving);
+}
+
 TEST(TargetReport, RecognizesStartsInTheFuture) {
   constexpr double kNow = 1.8e12;
   const auto now = static_cast<std::uint64_t>(kNow);
@@ -81,19 +110,22 @@
 TEST(TargetReport, IgnoresLateReportsAfterWithdrawal) {
   KnownTarget known_target;
   (void)Apply(known_target, MakeReport("a", 5, 1));
-  EXPECT_TRUE(ApplyWithdrawal(known_target, {"a", 5}));
+  EXPECT_EQ(ApplyWithdrawal(known_target, {"a", 5}),
+            WithdrawalEffect::kLeaving);
   EXPECT_EQ(Apply(known_target, MakeReport("a", 5, 2)), ReportEffect::kIgnored);
   EXPECT_EQ(Apply(known_target, MakeReport("b", 7, 1)),
             ReportEffect::kNewIncarnation);
   EXPECT_FALSE(known_target.m_leaving);
   // A delayed withdrawal of the former incarnation has no effect.
-  EXPECT_FALSE(ApplyWithdrawal(known_target, {"a", 5}));
+  EXPECT_EQ(ApplyWithdrawal(known_target, {"a", 5}),
+            WithdrawalEffect::kRemembered);
   EXPECT_FALSE(known_target.m_leaving);
 }
 
 TEST(TargetReport, RemembersWithdrawalBeforeFirstReport) {
   KnownTarget known_target;
-  EXPECT_FALSE(ApplyWithdrawal(known_target, {"a", 0}));
+  EXPECT_EQ(ApplyWithdrawal(known_target, {"a", 0}),
+            WithdrawalEffect::kRemembered);
   EXPECT_EQ(Apply(known_target, MakeReport("a", 5, 1)), ReportEffect::kIgnored);
 }
 
--- a/test/platform/platform_test.cc
+++ b/test/platform/platform_test.cc
@@ -250,8 +250,12 @@
   ExternalOperations node;
   node.m_report = [&](const TargetReport& report) {
     last_event = report.m_instance;
+    return true;
+  };
+  node.m_withdraw = [&](const TargetWithdrawal&) {
+    last_event = "gone";
+    return true;
   };
-  node.m_withdraw = [&](const TargetWithdrawal&) { last_event = "gone"; };
   AdminRequest request;
   request.m_method = "PUT";
   request.m_path = "/hemlockpoint/instances/i-7";
@@ -267,6 +271,21 @@
   EXPECT_EQ(ServeExternal(request, node).m_status, 404U);
 }
 
+// Guards against a target that stops after an acknowledgement which its node
+// didn't act on.
+TEST(ExternalApi, DoesNotAcknowledgeAnAnnouncementThatIsNotActedOn) {
+  ExternalOperations node;
+  node.m_report = [](const TargetReport&) { return false; };
+  node.m_withdraw = [](const TargetWithdrawal&) { return false; };
+  AdminRequest request;
+  request.m_method = "PUT";
+  request.m_path = "/hemlockpoint/instances/i-7";
+  request.m_body = kValidReport;
+  EXPECT_EQ(ServeExternal(request, node).m_status, 503U);
+  request.m_method = "DELETE";
+  EXPECT_EQ(ServeExternal(request, node).m_status, 503U);
+}
+
 TEST(ExternalApi, ControlHostServesDocumentsOrRedirectsToTheLeader) {
   DocumentOutcome result;
   ExternalOperations control;
--- a/test/platform/target_exchange_test.cc
+++ b/test/platform/target_exchange_test.cc
@@ -60,7 +60,7 @@
     m_loop.SpawnPeriodic(SlotDispatcher::kTickPeriod,
                          [this] { m_dispatcher.Tick(); });
     m_loop.Spawn([=] {
-      m_dispatcher.HandleTargetReport(MakeReport());
+      (void)m_dispatcher.HandleTargetReport(MakeReport());
       while (m_dispatcher.Summary().m_slots == 0) {
         SleepFor(Millis(5));
       }
@@ -294,7 +294,7 @@
   m_loop.SpawnPeriodic(SlotDispatcher::kTickPeriod,
                        [this] { m_dispatcher.Tick(); });
   m_loop.Spawn([&] {
-    m_dispatcher.HandleTargetReport(MakeReport());
+    (void)m_dispatcher.HandleTargetReport(MakeReport());
     while (m_dispatcher.Summary().m_slots == 0) {
       SleepFor(Millis(5));
     }
@@ -426,11 +426,11 @@
       TargetReport report = MakeReport();
       for (unsigned i = 0; i < reports; ++i) {
         ++report.m_sequence;
-        m_dispatcher.HandleTargetReport(report);
+        (void)m_dispatcher.HandleTargetReport(report);
         // An entry of another writer.
         TargetReport other = report;
         other.m_service = ServiceName("other");
-        m_dispatcher.HandleTargetReport(other);
+        (void)m_dispatcher.HandleTargetReport(other);
         SleepFor(kReportPeriod);
       }
       m_loop.Stop();
--- a/test/platform/two_nodes.h
+++ b/test/platform/two_nodes.h
@@ -109,7 +109,7 @@
     report.m_endpoint = m_target_context.m_settings.m_target.m_endpoint;
     report.m_slots = 8;
     report.m_sequence = 1;
-    m_target_dispatcher.HandleTargetReport(report);
+    (void)m_target_dispatcher.HandleTargetReport(report);
     while (m_target_dispatcher.Summary().m_slots == 0) {
       SleepFor(Millis(5));
     }
