Close inbound links of peers that have vanished

A process that vanished without closing its links left them at its peers, with the slots of streamed responses to it, until TCP gave up, or for ever if nothing was left to be sent.

Cause: only the side that opened a link checked whether the peer was alive.

The other side now closes a link on which no message has come for 30 s; a live peer pings each second. Calls of a process that is paused for less continue.

InboundLink.ClosesWithItsCallsOnceThePeerIsSilent failed without the check. Not run with processes.

--- a/src/hemlockpoint/transport/link_manager.cc
+++ b/src/hemlockpoint/transport/link_manager.cc
@@ -16,11 +16,13 @@
 LinkManager::LinkManager(FiberLoop& loop,
                          Hello hello,
                          std::size_t max_calls,
-                         LinkCallbacks callbacks)
+                         LinkCallbacks callbacks,
+                         Millis max_inbound_silence)
     : m_state(std::make_unique<State>(loop,
                                       std::move(hello),
                                       max_calls,
-                                      std::move(callbacks))) {
+                                      std::move(callbacks),
+                                      max_inbound_silence)) {
   loop.SpawnPeriodic(internal::kHandshakeTimeout,
                      [state = m_state.get()] { state->CloseUnestablished(); });
   loop.SpawnPeriodic(internal::kLivenessCheckPeriod,
--- a/src/hemlockpoint/transport/link_manager.h
+++ b/src/hemlockpoint/transport/link_manager.h
@@ -43,6 +43,11 @@
   std::uint64_t m_rejected_messages = 0;
 };
 
+/// @brief Default time without a message after which an inbound link is closed.
+/// The peer pings its link each second, so it has vanished, or has been paused
+/// for longer than any of its calls may take.
+inline constexpr Millis kMaxInboundSilence(30'000);
+
 /// @brief Manages the links to other processes and the calls on them. A link
 /// is established once the peer's Hello has arrived. A process sends calls
 /// only on links that it opened itself.
@@ -55,7 +60,8 @@
   LinkManager(FiberLoop& loop,
               Hello hello,
               std::size_t max_calls,
-              LinkCallbacks callbacks);
+              LinkCallbacks callbacks,
+              Millis max_inbound_silence = kMaxInboundSilence);
   ~LinkManager();
   LinkManager(const LinkManager&) = delete;
   LinkManager& operator=(const LinkManager&) = delete;
--- a/src/hemlockpoint/transport/link_state.h
+++ b/src/hemlockpoint/transport/link_state.h
@@ -76,10 +76,12 @@
   State(FiberLoop& loop,
         Hello hello,
         std::size_t max_calls,
-        LinkCallbacks callbacks)
+        LinkCallbacks callbacks,
+        Millis max_inbound_silence)
       : m_loop(loop),
         m_hello(std::move(hello)),
         m_max_calls(max_calls),
+        m_max_inbound_silence(max_inbound_silence),
         m_callbacks(std::move(callbacks)),
         m_peer_links(
             loop.io(),
@@ -317,8 +319,8 @@
   }
 
   // Pings idle peers on outbound links and closes links whose peer does not
-  // reply. A broken connection may report no error. Also closes retired links
-  // without calls.
+  // reply, and inbound links whose peer sends no pings. A broken connection may
+  // report no error. Also closes retired links without calls.
   void CheckLinks() {
     const Millis now = SteadyNow();
     // After a stall of this process, messages that arrived meanwhile are still
@@ -329,7 +331,7 @@
     std::vector<LinkId> dead;
     std::vector<LinkId> unused;
     for (auto& [id, link] : m_links) {
-      if (!link.m_is_established || link.m_is_inbound) {
+      if (!link.m_is_established) {
         continue;
       }
       if (link.m_is_retired && link.m_calls.empty()) {
@@ -340,6 +342,12 @@
         link.m_last_received_at = now;
         link.m_ping_sent_at = Millis(0);
       }
+      if (link.m_is_inbound) {
+        if (now - link.m_last_received_at > m_max_inbound_silence) {
+          dead.push_back(id);
+        }
+        continue;
+      }
       const Millis idle_threshold = link.m_calls.empty()
                                         ? internal::kPingIdleThreshold
                                         : internal::kPingIdleThresholdWithCalls;
@@ -384,6 +392,7 @@
   FiberLoop& m_loop;
   Hello m_hello;
   std::size_t m_max_calls;
+  Millis m_max_inbound_silence;
   LinkCallbacks m_callbacks;
   std::unordered_map<LinkId, LinkInfo> m_links;
   std::map<Endpoint, LinkId> m_by_endpoint;
--- a/test/hemlockpoint/transport/link_manager_test.cc
+++ b/test/hemlockpoint/transport/link_manager_test.cc
@@ -2,6 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <chrono>
+#include <thread>
+#include <vector>
+
 #include "support/link_pair.h"
 
 namespace hemlockpoint {
@@ -160,5 +165,65 @@
   EXPECT_TRUE(credit.Take(5));
 }
 
+// Guards against calls and links that are kept for a peer that has vanished
+// without closing its connection. The peer runs on a thread of its own, which
+// the test holds up.
+TEST(InboundLink, ClosesWithItsCallsOnceThePeerIsSilent) {
+  // Longer than the time between two pings.
+  constexpr Millis kMaxSilence(2500);
+  const Endpoint endpoint = FreeEndpoint("127.0.91.2");
+  FiberLoop loop;
+  std::vector<InboundCall> calls;
+  LinkManager links(
+      loop, MakeHello("target"), 64,
+      {[&](InboundCall call) { calls.push_back(std::move(call)); },
+       [](LinkId, const NodeId&, const Message&) {},
+       [](LinkId, const NodeId&) {}},
+      kMaxSilence);
+  ASSERT_FALSE(links.Listen(endpoint));
+  std::atomic<bool> is_held{false};
+  std::atomic<bool> is_done{false};
+  std::thread peer([&] {
+    FiberLoop peer_loop;
+    LinkManager peer_links(
+        peer_loop, MakeHello("entry"), 64,
+        {[](InboundCall) {}, [](LinkId, const NodeId&, const Message&) {},
+         [](LinkId, const NodeId&) {}});
+    peer_loop.Spawn([&] {
+      const Result<LinkId> link =
+          peer_links.EnsureLink(endpoint, SteadyNow() + LinkPair::kPatience);
+      EXPECT_TRUE(link);
+      const OutboundCall call = peer_links.StartCall(*link, CallStart());
+      while (!is_held) {
+        SleepFor(Millis(20));
+      }
+      while (!is_done) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      }
+      peer_links.Shutdown();
+      peer_loop.Stop();
+    });
+    peer_loop.Run();
+  });
+  loop.Spawn([&] {
+    while (calls.empty()) {
+      SleepFor(Millis(20));
+    }
+    // The call sends nothing, but the peer pings the link.
+    SleepFor(kMaxSilence + Millis(500));
+    EXPECT_EQ(links.links(), 1U);
+    is_held = true;
+    SleepFor(kMaxSilence + Millis(1000));
+    EXPECT_EQ(links.links(), 0U);
+    EXPECT_TRUE(calls[0].m_state->m_cancelled);
+    is_done = true;
+    calls.clear();
+    links.Shutdown();
+    loop.Stop();
+  });
+  loop.Run();
+  peer.join();
+}
+
 }  // namespace
 }  // namespace hemlockpoint
