Accept documents of up to 1 MiB

An operator's valid document with more than about 2,300 routes got 413, which ends the operator's attempts; the users' platform states no limit.

Cause: the listener limited bodies to 512 KiB, though entries of the control group's log and messages between processes may have 2 MiB.

--- a/src/hemlockpoint/node/admin_service.cc
+++ b/src/hemlockpoint/node/admin_service.cc
@@ -73,7 +73,10 @@
   auto body = ReadWholeBody(exchange);
   const auto handler = m_handlers.find(request.m_method + " " + request.m_path);
   if (!body) {
-    response = MakeErrorResponse(kContentTooLarge, "body larger than 512 KiB");
+    response = MakeErrorResponse(
+        kContentTooLarge,
+        "body incomplete, or larger than " +
+            std::to_string(AdminService::kMaxBodyBytes / 1024) + " KiB");
   } else if (handler == m_handlers.end() && m_fallback) {
     request.m_body = std::move(*body);
     response = m_fallback(request);
--- a/src/hemlockpoint/node/admin_service.h
+++ b/src/hemlockpoint/node/admin_service.h
@@ -37,7 +37,7 @@
 
   /// @brief Maximum size of a request body in bytes. Larger requests get
   /// status 413.
-  static constexpr std::size_t kMaxBodyBytes = std::size_t{512} * 1024;
+  static constexpr std::size_t kMaxBodyBytes = std::size_t{1024} * 1024;
 
   /// @brief Registers the handler of one method and path.
   /// @param method_and_path For example "GET /metrics".
--- a/test/hemlockpoint/documents/document_store_test.cc
+++ b/test/hemlockpoint/documents/document_store_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "hemlockpoint/wire/codec.h"
+
 namespace hemlockpoint {
 namespace {
 
@@ -48,5 +50,16 @@
             DocumentChangeStatus::kVersionNotNewer);
 }
 
+// Control hosts send the store in one message, as part of a snapshot.
+TEST(DocumentStore, WithTheLargestDocumentFitsIntoAMessage) {
+  constexpr std::size_t kLargestDocumentBytes = std::size_t{1024} * 1024;
+  DocumentStore store;
+  for (std::uint64_t i = 0; i < kMaxAcceptedChanges; ++i) {
+    (void)ApplyDocumentChange(store, MakeChange(i, i + 1, "x"));
+  }
+  store.m_text = std::string(kLargestDocumentBytes, 'x');
+  EXPECT_LT(EncodeDocumentStore(store).size(), kMaxMessageBytes * 3 / 4);
+}
+
 }  // namespace
 }  // namespace hemlockpoint
