--- a/src/hemlockpoint/relay/slot_dispatcher.cc
+++ b/src/hemlockpoint/relay/slot_dispatcher.cc
@@ -121,8 +121,15 @@
 bool SlotDispatcher::HandleTargetWithdrawal(
     const TargetWithdrawal& withdrawal) {
   const WithdrawalEffect effect = ApplyWithdrawal(m_known_target, withdrawal);
-  if (effect != WithdrawalEffect::kLeaving) {
-    return effect == WithdrawalEffect::kRemembered;
+  if (effect == WithdrawalEffect::kUnresolved) {
+    LogLine(LogLevel::kWarning, "withdrawal_unresolved")
+        .With("instance", withdrawal.m_instance)
+        .With("born", withdrawal.m_started_unix_ms)
+        .With("current_born", m_known_target.m_current->m_started_unix_ms);
+    return false;
+  }
+  if (effect == WithdrawalEffect::kRemembered) {
+    return true;
   }
   LogLine(LogLevel::kInfo, "target_leaving")
       .With("instance", withdrawal.m_instance)
