Log a line when a crash ends a process

Callers lost the requests of a process that had ended, and its log said nothing of it. An uncaught exception, an abort and a memory fault left no structured line, so the hypotheses of the incident couldn't be told apart.

The process now writes the exception, or the signal and the address of the fault, and the offsets of the calling functions, without allocating memory and on a stack of its own. It ends as before. Lines that were queued are lost: flushing them could wait for ever for a full pipe.

--- a/src/hemlockpointd/main.cc
+++ b/src/hemlockpointd/main.cc
@@ -1,5 +1,7 @@
 // The daemon. Runs a node, a control host or both, as its settings define.
 
+#include <unistd.h>
+
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 #include <fstream>
@@ -12,6 +14,7 @@
 #include "hemlockpoint/log/log.h"
 #include "hemlockpoint/node/node.h"
 #include "hemlockpoint/relay/relay_node.h"
+#include "hemlockpoint/runtime/crash_lines.h"
 #include "hemlockpoint/runtime/fiber_loop.h"
 #include "hemlockpoint/runtime/signals.h"
 #include "platform/protocol_adapter.h"
@@ -185,6 +188,8 @@
                          is_route_mode
                              ? hemlockpoint::LogStream::kStandardOutput
                              : hemlockpoint::LogStream::kStandardError);
+  hemlockpoint::WriteLinesOnCrash(
+      settings->m_node.value(), is_route_mode ? STDOUT_FILENO : STDERR_FILENO);
   const int exit_code = is_route_mode
                             ? RunRelay(*settings, options.m_settings_path)
                             : RunPolicyNode(*settings);
