Wait for ports and the data folder that are in use at the start

Callers saw that the system didn't start or that its processes ended by themselves. A process whose port another socket held when it started ended at once with exit code 1, for each of the five ports of a node and both roles; so did a control host whose data folder a former process still had locked. The failure of the peer port named no system error.

Cause: each resource was tried once, though the former process may not have quite ended, and a short connection of any process may have the port as its local one. The error of the peer port is the system's.

Ruled out: connections in TIME_WAIT, since the listeners set SO_REUSEADDR.

--- a/src/hemlockpoint/http/server.cc
+++ b/src/hemlockpoint/http/server.cc
@@ -301,6 +301,8 @@
     acceptor.listen(asio::socket_base::max_listen_connections, error);
   }
   if (error) {
+    ErrorCode ignored;
+    acceptor.close(ignored);
     return "cannot listen for HTTP at " + ToText(endpoint) + ": " +
            error.message();
   }
--- a/src/hemlockpoint/http/server.h
+++ b/src/hemlockpoint/http/server.h
@@ -86,7 +86,8 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
-  /// @brief Accepts connections at a local endpoint.
+  /// @brief Accepts connections at a local endpoint. Can be called again after
+  /// an error.
   /// @return The error, or nullopt on success.
   [[nodiscard]] std::optional<std::string> Listen(const Endpoint& endpoint);
 
--- a/src/hemlockpoint/node/node.cc
+++ b/src/hemlockpoint/node/node.cc
@@ -18,6 +18,7 @@
 #include "hemlockpoint/node/status.h"
 #include "hemlockpoint/node/target_dispatcher.h"
 #include "hemlockpoint/report/refusal_json.h"
+#include "hemlockpoint/runtime/start_retry.h"
 
 namespace hemlockpoint {
 
@@ -288,14 +289,16 @@
     if (m_control) {
       error = m_control->Start();
     }
-    if (!error) {
-      error = m_links.Listen(m_settings.m_peer);
-    }
-    if (!error) {
-      error = m_admin_http.Listen(m_settings.m_admin);
-    }
-    if (!error && m_settings.m_is_node) {
-      error = m_http.Listen(m_settings.m_http);
+    const Millis until = SteadyNow() + kStartPatience;
+    const auto listen = [&](auto& listener, const Endpoint& endpoint) {
+      if (!error) {
+        error = RetryAtStart(until, [&] { return listener.Listen(endpoint); });
+      }
+    };
+    listen(m_links, m_settings.m_peer);
+    listen(m_admin_http, m_settings.m_admin);
+    if (m_settings.m_is_node) {
+      listen(m_http, m_settings.m_http);
     }
     if (error) {
       return error;
--- a/src/hemlockpoint/peer/peer_links.cc
+++ b/src/hemlockpoint/peer/peer_links.cc
@@ -133,6 +133,30 @@
 
 PeerLinks::~PeerLinks() = default;
 
+namespace {
+
+// The library reports a failed bind as "Underlying Transport Error". Binding
+// once more gives the error of the system.
+std::string DescribeListenError(const boost::asio::ip::tcp::endpoint& local,
+                                const websocketpp::lib::error_code& error) {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(io);
+  boost::system::error_code system_error;
+  acceptor.open(local.protocol(), system_error);
+  if (!system_error) {
+    boost::system::error_code ignored;
+    acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true),
+                        ignored);
+    acceptor.bind(local, system_error);
+  }
+  if (!system_error) {
+    acceptor.listen(1, system_error);
+  }
+  return system_error ? system_error.message() : error.message();
+}
+
+}  // namespace
+
 std::optional<std::string> PeerLinks::Listen(const Endpoint& endpoint) {
   websocketpp::lib::error_code error;
   const boost::asio::ip::tcp::endpoint local(
@@ -143,7 +167,7 @@
   }
   if (error) {
     return "cannot listen for peers at " + ToText(endpoint) + ": " +
-           error.message();
+           DescribeListenError(local, error);
   }
   return std::nullopt;
 }
--- a/src/hemlockpoint/relay/relay_node.cc
+++ b/src/hemlockpoint/relay/relay_node.cc
@@ -12,6 +12,7 @@
 #include "hemlockpoint/relay/context.h"
 #include "hemlockpoint/relay/request_router.h"
 #include "hemlockpoint/relay/slot_dispatcher.h"
+#include "hemlockpoint/runtime/start_retry.h"
 
 namespace hemlockpoint {
 
@@ -323,20 +324,18 @@
     if (m_control) {
       error = m_control->Start();
     }
-    if (!error) {
-      error = m_links.Listen(settings.m_peer_bind);
-    }
-    if (!error) {
-      error = m_external_http.Listen(settings.m_external);
-    }
-    if (!error) {
-      error = m_admin_http.Listen(settings.m_admin);
-    }
-    if (!error && settings.m_is_node) {
-      error = m_ready_http.Listen(settings.m_ready);
-    }
-    if (!error && settings.m_is_node) {
-      error = m_http.Listen(settings.m_http);
+    const Millis until = SteadyNow() + kStartPatience;
+    const auto listen = [&](auto& listener, const Endpoint& endpoint) {
+      if (!error) {
+        error = RetryAtStart(until, [&] { return listener.Listen(endpoint); });
+      }
+    };
+    listen(m_links, settings.m_peer_bind);
+    listen(m_external_http, settings.m_external);
+    listen(m_admin_http, settings.m_admin);
+    if (settings.m_is_node) {
+      listen(m_ready_http, settings.m_ready);
+      listen(m_http, settings.m_http);
     }
     if (error || !settings.m_is_node) {
       return error;
--- a/src/hemlockpoint/runtime/signals.cc
+++ b/src/hemlockpoint/runtime/signals.cc
@@ -24,6 +24,12 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+bool IsStopPending() {
+  sigset_t pending;
+  return sigpending(&pending) == 0 && (sigismember(&pending, SIGINT) == 1 ||
+                                       sigismember(&pending, SIGTERM) == 1);
+}
+
 void UnblockSignals() {
   const sigset_t signals = OperatorSignals();
   pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
--- a/src/hemlockpoint/runtime/signals.h
+++ b/src/hemlockpoint/runtime/signals.h
@@ -9,6 +9,10 @@
 /// installed, each of these signals ends the process.
 void BlockSignals();
 
+/// @return Whether a signal to stop (SIGINT, SIGTERM) waits for
+/// UnblockSignals().
+[[nodiscard]] bool IsStopPending();
+
 /// @brief Delivers the signals that wait, and further ones, to the calling
 /// thread. Call it once the handlers are installed.
 void UnblockSignals();
--- a/src/hemlockpoint/storage/data_folder.cc
+++ b/src/hemlockpoint/storage/data_folder.cc
@@ -11,6 +11,7 @@
 #include <sstream>
 #include <utility>
 
+#include "hemlockpoint/runtime/start_retry.h"
 #include "hemlockpoint/storage/records.h"
 #include "hemlockpoint/wire/fields_codec.h"
 
@@ -225,10 +226,13 @@
     if (m_lock_file < 0) {
       return SystemError("open " + (m_path / "lock").string());
     }
-    if (::flock(m_lock_file, LOCK_EX | LOCK_NB) != 0) {
-      return m_path.string() + ": another process uses the folder";
-    }
-    return std::nullopt;
+    // A former process keeps its lock until the system has ended it.
+    return RetryAtStart(SteadyNow() + kStartPatience, [this] {
+      return ::flock(m_lock_file, LOCK_EX | LOCK_NB) == 0
+                 ? OptionalError()
+                 : OptionalError(
+                       SystemError("another process uses " + m_path.string()));
+    });
   }
 
   // The instance is the first file that is written, so a folder that has other
