Put an inaccessible page below each stack

One of the hypotheses for processes that ended by themselves is an overflow of a stack. The stacks of fibers came from a pool without guard pages, so an overflow wrote into the next stack or the heap and showed elsewhere, if at all.

Stacks are now mapped in chunks with an inaccessible page below each, so that an overflow ends the process where it happens, with a line. Freed stacks are used again as before.

--- a/src/hemlockpoint/runtime/fiber_loop.cc
+++ b/src/hemlockpoint/runtime/fiber_loop.cc
@@ -7,11 +7,12 @@
 #include <boost/fiber/context.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
-#include <boost/fiber/pooled_fixedsize_stack.hpp>
 #include <boost/fiber/scheduler.hpp>
 #include <chrono>
 #include <utility>
 
+#include "hemlockpoint/runtime/stack_pool.h"
+
 namespace hemlockpoint {
 
 namespace {
@@ -19,8 +20,6 @@
 namespace fibers = boost::fibers;
 
 constexpr std::size_t kStackBytes = std::size_t{128} * 1024;
-// Stacks are reserved in chunks; only the pages in use are resident.
-constexpr std::size_t kStacksPerChunk = 16;
 
 // Round-robin scheduler that runs the io_context while no fiber is ready.
 // Only handlers and other fibers make a fiber ready, so the ready queue becomes
@@ -77,7 +76,7 @@
       std::make_shared<boost::asio::io_context>(1);
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       m_work = boost::asio::make_work_guard(*m_io);
-  fibers::pooled_fixedsize_stack m_stacks{kStackBytes, kStacksPerChunk};
+  StackPool m_stacks{kStackBytes};
   fibers::mutex m_mutex;
   fibers::condition_variable m_changed;
   std::size_t m_fibers = 0;
