Bound the stacks by the memory that the process may map

Callers of a busy deployment saw processes end by themselves. A node with 260 MB of address space ended by signal 6 between 300 and 600 requests in progress (std::bad_alloc out of a handler, 24 MB resident at most), one with a data segment of 260 MB after 1,492, and with each of them all its requests were lost.

Cause: each connection, request and call has a fiber with a stack of 128 KiB of address space, and nothing bounded their number by the memory of the process; the allocation failed in a handler, which may not throw. A second thread's heap reserved 64 MB and more in addition, so that an idle node took 170 MB.

At its start the process reads its limits on address space and data segment. Half of what is left may become stacks. Above shares of it, new connections are closed, requests get 503 as not run, and calls are refused to their entry, which tries another target; readiness checks, announcements and operators go on, and fibers of accepted work are always started. All threads share one heap.

1,500 requests with 260 MB of address space: ended by signal 6 before; now the process serves, with 94 MB mapped (at stacks of 128 KiB), and answers readiness checks meanwhile. processes.limits failed before in both cases. Whether the reported processes had such a limit isn't known.

--- a/src/hemlockpoint/http/server.cc
+++ b/src/hemlockpoint/http/server.cc
@@ -23,6 +23,9 @@
 
 constexpr Millis kTimeoutCheckPeriod(500);
 constexpr unsigned kHttp11 = 11;
+constexpr unsigned kServiceUnavailable = 503;
+// Requests in progress end within about this time.
+constexpr const char* kRetryAfterSeconds = "0.3";
 // Time in which the client must close its side after the last response.
 constexpr Millis kLingerTimeout(1000);
 constexpr Millis kLingerPollPeriod(50);
@@ -70,10 +73,12 @@
   }
 
   void StartServing(const std::shared_ptr<HttpConnection>& connection) {
-    if (m_connections.size() >= m_limits.m_connections) {
+    const bool has_stack = m_loop.HasStackFor(m_limits.m_connection_work);
+    if (m_connections.size() >= m_limits.m_connections || !has_stack) {
       LogLine(LogLevel::kWarning, "connection_rejected")
-          .With("connections",
-                static_cast<std::uint64_t>(m_connections.size()));
+          .With("reason", has_stack ? "limits.connections" : "stack memory")
+          .With("connections", static_cast<std::uint64_t>(m_connections.size()))
+          .With("fibers", static_cast<std::uint64_t>(m_loop.fibers()));
       return;
     }
     m_connections.insert(connection);
@@ -159,6 +164,11 @@
       RespondToHeadError(*connection, error);
       return false;
     }
+    if (!m_loop.HasStackFor(m_limits.m_request_work)) {
+      RespondWithoutHandler(*connection, kServiceUnavailable, "node_overloaded",
+                            "no memory for another stack");
+      return false;
+    }
     exchange->AssignIndex();
     m_loop.Spawn([self = shared_from_this(), exchange] {
       self->m_handler(*exchange);
@@ -201,16 +211,29 @@
       connection.OnDisconnected();
       return;
     }
+    RespondWithoutHandler(connection, *status, "malformed_request",
+                          error.message());
+  }
+
+  // Responds to the last request of a connection, which was not run, after the
+  // responses to earlier ones.
+  static void RespondWithoutHandler(HttpConnection& connection,
+                                    unsigned status,
+                                    const std::string& reason,
+                                    const std::string& detail) {
     connection.m_changed.Wait([&] {
       return connection.m_is_closing || connection.pending_responses() == 0;
     });
     http::response<http::string_body> response(
-        static_cast<http::status>(*status), kHttp11);
+        static_cast<http::status>(status), kHttp11);
     response.set(http::field::content_type, "application/json");
     response.set("Hemlock-Outcome", "not_run");
-    response.body() = R"({"outcome":"not_run","decided_by":"system","reason":")"
-                      R"(malformed_request","detail":")" +
-                      error.message() + "\"}\n";
+    if (status == kServiceUnavailable) {
+      response.set(http::field::retry_after, kRetryAfterSeconds);
+    }
+    response.body() =
+        R"({"outcome":"not_run","decided_by":"system","reason":")" + reason +
+        R"(","detail":")" + detail + "\"}\n";
     response.keep_alive(false);
     response.prepare_payload();
     (void)AwaitIo([&](auto handler) {
--- a/src/hemlockpoint/http/server.h
+++ b/src/hemlockpoint/http/server.h
@@ -25,6 +25,10 @@
   Millis m_head_timeout{10'000};
   /// Time after which an idle connection is closed; 0 for never.
   Millis m_idle_timeout;
+  /// Kinds of work as which connections and requests count where the memory
+  /// for stacks is limited.
+  FiberWork m_connection_work = FiberWork::kConnection;
+  FiberWork m_request_work = FiberWork::kRequest;
 };
 
 /// @brief One request and its response, used by the request's fiber. Responses
--- a/src/hemlockpoint/node/entry_attempts.cc
+++ b/src/hemlockpoint/node/entry_attempts.cc
@@ -173,10 +173,7 @@
   using CallResult = Result<OutboundCall>;
   if (node == m_context.m_settings.m_node) {
     LocalCall local = MakeLocalCall(MakeStart(progress));
-    m_context.m_loop.Spawn([this, inbound = std::make_shared<InboundCall>(
-                                      std::move(local.m_inbound))] {
-      m_dispatcher.Serve(std::move(*inbound));
-    });
+    m_dispatcher.Accept(std::move(local.m_inbound));
     return std::move(local.m_outbound);
   }
   const auto member = m_context.m_members.find(node);
--- a/src/hemlockpoint/node/node.cc
+++ b/src/hemlockpoint/node/node.cc
@@ -81,14 +81,15 @@
       : m_settings(settings),
         m_loop(loop),
         m_context(settings, loop),
-        m_links(loop,
-                HelloOf(m_context),
-                settings.m_limits.m_calls,
-                {[this](InboundCall call) { ServeCall(std::move(call)); },
-                 [this](LinkId link, const NodeId&, const Message& message) {
-                   HandleMessage(link, message);
-                 },
-                 [this](LinkId link, const NodeId&) { OnLinkClosed(link); }}),
+        m_links(
+            loop,
+            HelloOf(m_context),
+            settings.m_limits.m_calls,
+            {[this](InboundCall call) { m_dispatcher.Accept(std::move(call)); },
+             [this](LinkId link, const NodeId&, const Message& message) {
+               HandleMessage(link, message);
+             },
+             [this](LinkId link, const NodeId&) { OnLinkClosed(link); }}),
         m_claims(m_context),
         m_keyed_calls(m_context, m_claims),
         m_policy(m_context),
@@ -131,13 +132,6 @@
             }};
   }
 
-  void ServeCall(InboundCall call) {
-    m_loop.Spawn(
-        [this, shared = std::make_shared<InboundCall>(std::move(call))] {
-          m_dispatcher.Serve(std::move(*shared));
-        });
-  }
-
   void HandleMessage(LinkId link, const Message& message) {
     std::visit([&](const auto& value) { Handle(link, value); }, message);
   }
--- a/src/hemlockpoint/node/target_dispatcher.cc
+++ b/src/hemlockpoint/node/target_dispatcher.cc
@@ -176,6 +176,23 @@
   return std::nullopt;
 }
 
+void TargetDispatcher::Accept(InboundCall call) {
+  if (!m_context.m_loop.HasStackFor(FiberWork::kCall)) {
+    ResponseStart response;
+    response.m_refusal = MakeSignalRefusal(
+        Reason::kNodeOverloaded,
+        {"fibers", static_cast<double>(m_context.m_loop.fibers()),
+         static_cast<double>(m_context.m_loop.max_fibers().value_or(0))});
+    response.m_refusal->m_node = m_context.m_settings.m_node;
+    call.m_sender->SendResponse(std::move(response));
+    return;
+  }
+  m_context.m_loop.Spawn(
+      [this, shared = std::make_shared<InboundCall>(std::move(call))] {
+        Serve(std::move(*shared));
+      });
+}
+
 void TargetDispatcher::Serve(InboundCall call) {
   ++m_context.m_counters.m_target_calls;
   Session session;
--- a/src/hemlockpoint/node/target_dispatcher.h
+++ b/src/hemlockpoint/node/target_dispatcher.h
@@ -29,6 +29,10 @@
   /// @brief Applies an announcement of the target.
   void Announce(const TargetAnnouncement& announcement);
 
+  /// @brief Starts a fiber that serves a call. Refuses the call if there is no
+  /// memory for a stack.
+  void Accept(InboundCall call);
+
   /// @brief Serves one call until it ends. Suspends the calling fiber.
   void Serve(InboundCall call);
 
--- a/src/hemlockpoint/relay/metrics.cc
+++ b/src/hemlockpoint/relay/metrics.cc
@@ -91,6 +91,8 @@
   AppendMetric(text, "members", "gauge", gauges.m_members);
   AppendMetric(text, "links", "gauge", gauges.m_links);
   AppendMetric(text, "body_bytes", "gauge", gauges.m_body_bytes);
+  AppendMetric(text, "fibers", "gauge", gauges.m_fibers);
+  AppendMetric(text, "max_fibers", "gauge", gauges.m_max_fibers);
   AppendMetric(text, "leads", "gauge", gauges.m_leads);
   AppendMetric(text, "bytes_between_domains_total", "counter",
                gauges.m_bytes_between_domains);
--- a/src/hemlockpoint/relay/metrics.h
+++ b/src/hemlockpoint/relay/metrics.h
@@ -69,6 +69,9 @@
   double m_members = 0;
   double m_links = 0;
   double m_body_bytes = 0;
+  double m_fibers = 0;
+  /// 0 if the number of fibers is not limited.
+  double m_max_fibers = 0;
   /// 1 when this process leads the control group, else 0.
   double m_leads = 0;
   double m_bytes_between_domains = 0;
--- a/src/hemlockpoint/relay/relay_node.cc
+++ b/src/hemlockpoint/relay/relay_node.cc
@@ -35,6 +35,8 @@
   limits.m_header_bytes = settings.m_limits.m_header_bytes;
   limits.m_body_bytes = AdminService::kMaxBodyBytes;
   limits.m_connections = settings.m_limits.m_connections;
+  limits.m_connection_work = FiberWork::kControl;
+  limits.m_request_work = FiberWork::kControl;
   return limits;
 }
 
@@ -75,20 +77,21 @@
         FiberLoop& loop)
       : m_loop(loop),
         m_context(settings, adapter, loop),
-        m_links(loop,
-                HelloOf(m_context),
-                settings.m_limits.m_calls,
-                {[this](InboundCall call) { ServeCall(std::move(call)); },
-                 [this](LinkId link, const NodeId&, const Message& message) {
-                   std::visit(
-                       [&](const auto& value) { HandleMessage(link, value); },
-                       message);
-                 },
-                 [this](LinkId link, const NodeId&) {
-                   if (m_control) {
-                     m_control->OnLinkClosed(link);
-                   }
-                 }}),
+        m_links(
+            loop,
+            HelloOf(m_context),
+            settings.m_limits.m_calls,
+            {[this](InboundCall call) { m_dispatcher.Accept(std::move(call)); },
+             [this](LinkId link, const NodeId&, const Message& message) {
+               std::visit(
+                   [&](const auto& value) { HandleMessage(link, value); },
+                   message);
+             },
+             [this](LinkId link, const NodeId&) {
+               if (m_control) {
+                 m_control->OnLinkClosed(link);
+               }
+             }}),
         m_dispatcher(m_context),
         m_membership(loop, m_links, settings.m_seeds, MakeMembershipHooks()),
         m_router(m_context,
@@ -157,13 +160,6 @@
     return member;
   }
 
-  void ServeCall(InboundCall call) {
-    m_loop.Spawn(
-        [this, shared = std::make_shared<InboundCall>(std::move(call))] {
-          m_dispatcher.Serve(std::move(*shared));
-        });
-  }
-
   // Ignores messages of policy mode. The transport handles those that belong to
   // calls itself.
   template <typename IgnoredMessage>
@@ -293,6 +289,8 @@
                                               m_context.m_target_body_bytes);
     gauges.m_bytes_between_domains =
         static_cast<double>(m_links.counters().m_bytes_between_domains);
+    gauges.m_fibers = static_cast<double>(m_loop.fibers());
+    gauges.m_max_fibers = static_cast<double>(m_loop.max_fibers().value_or(0));
     gauges.m_leads = m_control && m_control->group().is_leader() ? 1 : 0;
     return gauges;
   }
--- a/src/hemlockpoint/relay/request_router_attempts.cc
+++ b/src/hemlockpoint/relay/request_router_attempts.cc
@@ -261,10 +261,7 @@
   CallStart start = MakeCallStart(call);
   if (node == m_context.m_settings.m_node) {
     LocalCall local = MakeLocalCall(std::move(start));
-    m_context.m_loop.Spawn([this, inbound = std::make_shared<InboundCall>(
-                                      std::move(local.m_inbound))] {
-      m_dispatcher.Serve(std::move(*inbound));
-    });
+    m_dispatcher.Accept(std::move(local.m_inbound));
     return std::move(local.m_outbound);
   }
   TargetPeer& peer = m_context.m_targets_by_service[call.m_service][node];
--- a/src/hemlockpoint/relay/slot_dispatcher.cc
+++ b/src/hemlockpoint/relay/slot_dispatcher.cc
@@ -276,6 +276,24 @@
   }
 }
 
+void SlotDispatcher::Accept(InboundCall call) {
+  if (!m_context.m_loop.HasStackFor(FiberWork::kCall)) {
+    DispatchSession session;
+    session.m_call = std::move(call);
+    Refuse(session,
+           MakeRefusal(
+               Reason::kNodeOverloaded,
+               {"fibers", static_cast<double>(m_context.m_loop.fibers()),
+                static_cast<double>(m_context.m_loop.max_fibers().value_or(0))},
+               kRetryWithoutMemory));
+    return;
+  }
+  m_context.m_loop.Spawn(
+      [this, shared = std::make_shared<InboundCall>(std::move(call))] {
+        Serve(std::move(*shared));
+      });
+}
+
 void SlotDispatcher::Serve(InboundCall call) {
   auto session = std::make_shared<DispatchSession>();
   const Millis now = SteadyNow();
--- a/src/hemlockpoint/relay/slot_dispatcher.h
+++ b/src/hemlockpoint/relay/slot_dispatcher.h
@@ -28,6 +28,10 @@
 
   static constexpr Millis kTickPeriod{20};
 
+  /// @brief Starts a fiber that serves a call. Refuses the call if there is no
+  /// memory for a stack.
+  void Accept(InboundCall call);
+
   /// @brief Serves one call to its end. Must run on a fiber.
   void Serve(InboundCall call);
 
--- a/src/hemlockpoint/runtime/fiber_loop.cc
+++ b/src/hemlockpoint/runtime/fiber_loop.cc
@@ -19,7 +19,32 @@
 
 namespace fibers = boost::fibers;
 
-constexpr std::size_t kStackBytes = std::size_t{128} * 1024;
+// Functions use more of a stack if they aren't optimized, or are instrumented
+// by a sanitizer.
+#if defined(__OPTIMIZE__) && !defined(__SANITIZE_ADDRESS__) && \
+    !defined(__SANITIZE_THREAD__)
+constexpr std::size_t kStackBytes = std::size_t{64} * 1024;
+#else
+constexpr std::size_t kStackBytes = std::size_t{256} * 1024;
+#endif
+
+// Share of the stacks that may be in use when a fiber of a kind is started.
+// Connections may be idle for long, so they leave room for requests, and both
+// leave room for the calls to the local target and for what these need. The
+// fibers that accepted work needs may exceed the limit.
+constexpr double MaxUsedShare(FiberWork work) {
+  switch (work) {
+    case FiberWork::kConnection:
+      return 0.5;
+    case FiberWork::kRequest:
+      return 0.7;
+    case FiberWork::kCall:
+      return 0.85;
+    case FiberWork::kControl:
+      break;
+  }
+  return 1;
+}
 
 // Round-robin scheduler that runs the io_context while no fiber is ready.
 // Only handlers and other fibers make a fiber ready, so the ready queue becomes
@@ -77,6 +102,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       m_work = boost::asio::make_work_guard(*m_io);
   StackPool m_stacks{kStackBytes};
+  std::optional<std::size_t> m_max_stacks;
   fibers::mutex m_mutex;
   fibers::condition_variable m_changed;
   std::size_t m_fibers = 0;
@@ -109,6 +135,17 @@
       .detach();
 }
 
+void FiberLoop::SetMaxStackBytes(std::size_t bytes) {
+  m_state->m_max_stacks = bytes / m_state->m_stacks.bytes_per_stack();
+}
+
+bool FiberLoop::HasStackFor(FiberWork work) const {
+  const std::optional<std::size_t> max_stacks = m_state->m_max_stacks;
+  return !max_stacks ||
+         static_cast<double>(m_state->m_stacks.used()) <
+             static_cast<double>(*max_stacks) * MaxUsedShare(work);
+}
+
 void FiberLoop::SpawnPeriodic(Millis period, std::function<void()> tick) {
   State* state = m_state.get();
   Spawn([state, period, tick = std::move(tick)] {
@@ -142,6 +179,10 @@
   return m_state->m_fibers;
 }
 
+std::optional<std::size_t> FiberLoop::max_fibers() const {
+  return m_state->m_max_stacks;
+}
+
 void SleepFor(Millis duration) {
   boost::this_fiber::sleep_for(ToChrono(duration));
 }
--- a/src/hemlockpointd/main.cc
+++ b/src/hemlockpointd/main.cc
@@ -16,6 +16,7 @@
 #include "hemlockpoint/relay/relay_node.h"
 #include "hemlockpoint/runtime/crash_lines.h"
 #include "hemlockpoint/runtime/fiber_loop.h"
+#include "hemlockpoint/runtime/process_memory.h"
 #include "hemlockpoint/runtime/signals.h"
 #include "platform/protocol_adapter.h"
 
@@ -94,8 +95,21 @@
       });
 }
 
+// Leaves half of the memory that the process may still map to the heap: bodies,
+// documents and buffers.
+void LimitStacks(hemlockpoint::FiberLoop& loop) {
+  if (const auto bytes = hemlockpoint::MappableBytes()) {
+    loop.SetMaxStackBytes(*bytes / 2);
+    LogLine(LogLevel::kInfo, "stacks_limited")
+        .With("mappable_bytes", static_cast<std::uint64_t>(*bytes))
+        .With("max_fibers",
+              static_cast<std::uint64_t>(loop.max_fibers().value_or(0)));
+  }
+}
+
 int RunRelay(const Settings& settings, const std::string& path) {
   hemlockpoint::FiberLoop loop;
+  LimitStacks(loop);
   hemlockpoint::RelayNode node(
       settings, hemlockpoint::platform::PlatformProtocolAdapter(), loop);
   if (const auto error = node.Start()) {
@@ -137,6 +151,7 @@
 
 int RunPolicyNode(const Settings& settings) {
   hemlockpoint::FiberLoop loop;
+  LimitStacks(loop);
   hemlockpoint::Node node(settings, loop);
   if (const auto error = node.Start()) {
     LogLine(LogLevel::kError, "start_failed").With("reason", *error);
@@ -167,6 +182,7 @@
 // NOLINTNEXTLINE(bugprone-exception-escape)
 int main(int argc, char** argv) {
   hemlockpoint::BlockSignals();
+  hemlockpoint::ShareHeapBetweenThreads();
   Options options;
   if (const auto exit_code = ReadCommandLine(argc, argv, options)) {
     return *exit_code;
