Stop although nobody reads the log

A process whose standard output is a full pipe without a reader didn't end after SIGTERM: it waited for ever for the log thread, whose write can't be interrupted (no exit within 12 s in a run on the code before). A control host whose disk had failed would have hung in the same way, with its ports held.

The log is now stopped by a thread of its own, and the process ends after 300 ms if the lines aren't written by then.

processes.signals, test_stop_while_the_log_pipe_is_full, failed before.

--- a/src/hemlockpoint/control/raft_driver.cc
+++ b/src/hemlockpoint/control/raft_driver.cc
@@ -170,8 +170,7 @@
       // Entries that weren't synced must not be acknowledged, and the journal
       // may end in a partial record, so the process exits.
       LogLine(LogLevel::kError, "disk_failed").With("reason", *failure);
-      StopLog();
-      std::_Exit(kExitDiskFailed);
+      StopLogAndExit(kExitDiskFailed);
     }
     SendMessages(output.m_outgoing);
     ApplyOutput(output);
--- a/src/hemlockpoint/log/log.cc
+++ b/src/hemlockpoint/log/log.cc
@@ -12,7 +12,12 @@
 #include <boost/smart_ptr/make_shared_object.hpp>
 #include <cmath>
 #include <cstdio>
+#include <cstdlib>
+#include <future>
 #include <iostream>
+#include <memory>
+#include <thread>
+#include <utility>
 
 #include "hemlockpoint/base/millis.h"
 
@@ -23,6 +28,8 @@
 namespace sinks = boost::log::sinks;
 
 constexpr std::size_t kMaxQueuedEvents = 8192;
+// Time in which the queued lines are written at the end of a process.
+constexpr Millis kStopPatience(300);
 
 using Sink = sinks::asynchronous_sink<
     sinks::text_ostream_backend,
@@ -104,14 +111,27 @@
   boost::log::core::get()->add_sink(g_sink);
 }
 
-void StopLog() {
+bool StopLog() {
   if (!g_sink) {
-    return;
+    return true;
   }
   boost::log::core::get()->remove_sink(g_sink);
-  g_sink->stop();
-  g_sink->flush();
+  // The sink can't be interrupted while it waits for the reader of a full pipe,
+  // so another thread stops it.
+  auto is_written = std::make_shared<std::promise<void>>();
+  std::future<void> written = is_written->get_future();
+  std::thread([sink = std::move(g_sink), is_written] {
+    sink->stop();
+    sink->flush();
+    is_written->set_value();
+  }).detach();
   g_sink.reset();
+  return written.wait_for(ToChrono(kStopPatience)) == std::future_status::ready;
+}
+
+void StopLogAndExit(int exit_code) {
+  StopLog();
+  std::_Exit(exit_code);
 }
 
 LogLine::LogLine(LogLevel level, std::string_view event)
--- a/src/hemlockpoint/log/log.h
+++ b/src/hemlockpoint/log/log.h
@@ -33,8 +33,14 @@
 /// @brief Changes the minimum level of the running log.
 void SetLogLevel(LogLevel level);
 
-/// @brief Writes all queued events and stops the log thread.
-void StopLog();
+/// @brief Writes the queued events and stops the log thread. Gives up after
+/// 300 ms if nobody reads them; the log thread then remains, and the process
+/// must end by std::_Exit().
+/// @return Whether all events were written.
+bool StopLog();
+
+/// @brief Stops the log and ends the process at once, without destructors.
+[[noreturn]] void StopLogAndExit(int exit_code);
 
 /// @brief One event. The destructor writes it as a line of key=value pairs.
 class LogLine {
--- a/src/hemlockpointd/main.cc
+++ b/src/hemlockpointd/main.cc
@@ -114,8 +114,7 @@
       settings, hemlockpoint::platform::PlatformProtocolAdapter(), loop);
   if (const auto error = node.Start()) {
     LogLine(LogLevel::kError, "start_failed").With("reason", *error);
-    hemlockpoint::StopLog();
-    std::_Exit(kExitFailed);
+    hemlockpoint::StopLogAndExit(kExitFailed);
   }
   boost::asio::signal_set stop(loop.io(), SIGTERM, SIGINT);
   stop.async_wait([&](const boost::system::error_code& error, int) {
@@ -124,10 +123,9 @@
         node.DrainAndStop();
         LogLine(LogLevel::kInfo, "stopped")
             .With("node", settings.m_node.value());
-        hemlockpoint::StopLog();
         // Exits here because connections that callers keep open would keep the
         // loop running.
-        std::_Exit(0);
+        hemlockpoint::StopLogAndExit(0);
       });
     }
   });
@@ -155,8 +153,7 @@
   hemlockpoint::Node node(settings, loop);
   if (const auto error = node.Start()) {
     LogLine(LogLevel::kError, "start_failed").With("reason", *error);
-    hemlockpoint::StopLog();
-    std::_Exit(kExitFailed);
+    hemlockpoint::StopLogAndExit(kExitFailed);
   }
   boost::asio::signal_set signals(loop.io(), SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code& error, int) {
@@ -209,6 +206,8 @@
   const int exit_code = is_route_mode
                             ? RunRelay(*settings, options.m_settings_path)
                             : RunPolicyNode(*settings);
-  hemlockpoint::StopLog();
+  if (!hemlockpoint::StopLog()) {
+    std::_Exit(exit_code);
+  }
   return exit_code;
 }
--- a/test/processes/signals_test.py
+++ b/test/processes/signals_test.py
@@ -51,6 +51,23 @@
         daemon.process.send_signal(signal.SIGTERM)
         self.assertEqual(daemon.process.wait(STOP_S), 0)
 
+    def test_stop_while_the_log_pipe_is_full(self):
+        """Guards against a process that doesn't stop because nobody reads its log."""
+        daemon = self.make_daemon(ROUTE_MODE, "127.0.94.5")
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        os.set_blocking(writer, False)
+        with self.assertRaises(BlockingIOError):
+            while True:
+                os.write(writer, b"\n" * 512)
+        os.set_blocking(writer, True)
+        daemon.start(writer)
+        os.close(writer)
+        time.sleep(2)
+        self.assertIsNone(daemon.process.poll())
+        daemon.process.send_signal(signal.SIGTERM)
+        self.assertEqual(daemon.process.wait(STOP_S), 0)
+
     def test_reload_in_policy_mode_is_refused(self):
         daemon = self.make_daemon(POLICY_MODE, "127.0.94.4")
         daemon.start()
