Don't wait for the reader of the log in a crash

The line is now written only if the pipe accepts data. The handlers are installed before the log's thread is started, so that a failure of this has a line, too.

processes.crash guards it with test_a_fault_ends_the_process_although_nobody_reads_its_log.

--- a/src/hemlockpoint/runtime/crash_lines.cc
+++ b/src/hemlockpoint/runtime/crash_lines.cc
@@ -2,10 +2,11 @@
 
 #include <execinfo.h>
 #include <link.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <array>
-#include <cinttypes>
+#include <climits>
 #include <csignal>
 #include <cstdint>
 #include <cstdio>
@@ -83,11 +84,16 @@
     Add(std::string_view(&digits[at], digits.size() - at));
   }
 
+  // The line is lost if it could wait for a reader. A pipe that accepts data
+  // takes PIPE_BUF bytes at once.
   void Write() {
+    static_assert(kMaxLineBytes <= PIPE_BUF);
     m_text[m_size++] = '\n';
-    // The process ends, whether this succeeds or not.
-    [[maybe_unused]] const ssize_t ignored =
-        ::write(g_crash.m_file, m_text.data(), m_size);
+    pollfd file{g_crash.m_file, POLLOUT, 0};
+    if (::poll(&file, 1, 0) == 1 && (file.revents & POLLOUT) != 0) {
+      [[maybe_unused]] const ssize_t ignored =
+          ::write(g_crash.m_file, m_text.data(), m_size);
+    }
   }
 
  private:
--- a/src/hemlockpointd/main.cc
+++ b/src/hemlockpointd/main.cc
@@ -197,12 +197,12 @@
   }
   const bool is_route_mode =
       settings->m_mode == hemlockpoint::ServingMode::kRoutes;
+  hemlockpoint::WriteLinesOnCrash(
+      settings->m_node.value(), is_route_mode ? STDOUT_FILENO : STDERR_FILENO);
   hemlockpoint::StartLog(settings->m_log_level,
                          is_route_mode
                              ? hemlockpoint::LogStream::kStandardOutput
                              : hemlockpoint::LogStream::kStandardError);
-  hemlockpoint::WriteLinesOnCrash(
-      settings->m_node.value(), is_route_mode ? STDOUT_FILENO : STDERR_FILENO);
   const int exit_code = is_route_mode
                             ? RunRelay(*settings, options.m_settings_path)
                             : RunPolicyNode(*settings);
--- a/test/processes/crash_test.py
+++ b/test/processes/crash_test.py
@@ -8,6 +8,7 @@
 import resource
 import signal
 import socket
+import time
 import unittest
 
 from daemon import ROUTE_MODE, Daemon
@@ -37,6 +38,23 @@
                                  f"event=crashed node=n1 signal={int(number)} address=0x")
                 self.assertRegex(daemon.log(), "event=crash_frames node=n1 offsets=0x")
 
+    def test_a_fault_ends_the_process_although_nobody_reads_its_log(self):
+        """Guards against a process that hangs in a crash while its log pipe is full."""
+        daemon = Daemon(self.binary, ROUTE_MODE, "127.0.97.65")
+        self.addCleanup(daemon.close)
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        os.set_blocking(writer, False)
+        with self.assertRaises(BlockingIOError):
+            while True:
+                os.write(writer, b"\n" * 512)
+        os.set_blocking(writer, True)
+        daemon.start(writer)
+        os.close(writer)
+        time.sleep(2)
+        daemon.process.send_signal(signal.SIGSEGV)
+        self.assertEqual(daemon.process.wait(END_S), -signal.SIGSEGV)
+
     def test_an_uncaught_exception_leaves_a_line(self):
         """Guards against a process that ends by an exception without saying so."""
         address = "127.0.97.64"
