Reject deeply nested TOML before it is parsed

A settings file with deeply nested arrays, or with a dotted key of many parts, ended a running process: the parser recurses for each level, and the file is read again each second on the stack of a fiber. At the start the main thread's larger stack hid it. Documents of operators in policy mode take the same way.

Documents with more than 16 levels, or 64 dots in a line outside of strings, are refused with a finding before they are parsed.

Settings.RejectsDeepNestingBeforeItIsParsed, and processes.limits with test_a_deeply_nested_settings_file_is_refused, which failed on the code before the incident.

--- a/src/hemlockpoint/config/toml_reader.cc
+++ b/src/hemlockpoint/config/toml_reader.cc
@@ -1,6 +1,7 @@
 #include "hemlockpoint/config/toml_reader.h"
 
 #include <cmath>
+#include <cstdint>
 #include <sstream>
 #include <utility>
 
@@ -19,11 +20,51 @@
   return text.str();
 }
 
+// Bounds of what the documents of this project need several times over. The
+// parser recurses for each level, on the stack of a fiber.
+constexpr int kMaxNesting = 16;
+constexpr int kMaxDotsInLine = 64;
+
+// Returns the first line whose brackets are nested too deeply, or which has too
+// many dots outside of strings, as a dotted key with many parts does. Brackets
+// in comments and in strings of several lines count as well.
+std::optional<std::uint32_t> FindExcessiveNesting(std::string_view text) {
+  std::uint32_t line = 1;
+  int depth = 0;
+  int dots = 0;
+  char quote = 0;
+  for (const char c : text) {
+    if (c == '\n') {
+      ++line;
+      dots = 0;
+      quote = 0;
+    } else if (quote != 0) {
+      quote = c == quote ? '\0' : quote;
+    } else if (c == '"' || c == '\'') {
+      quote = c;
+    } else if (c == '[' || c == '{') {
+      ++depth;
+    } else if (c == ']' || c == '}') {
+      --depth;
+    } else if (c == '.') {
+      ++dots;
+    }
+    if (depth > kMaxNesting || dots > kMaxDotsInLine) {
+      return line;
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 std::optional<toml::table> ParseToml(std::string_view text,
                                      const std::string& source,
                                      Findings& findings) {
+  if (const auto line = FindExcessiveNesting(text)) {
+    findings.Add({source, *line, 1}, "nested too deeply");
+    return std::nullopt;
+  }
   toml::parse_result parsed = toml::parse(text);
   if (!parsed) {
     const toml::parse_error& error = parsed.error();
--- a/src/hemlockpoint/runtime/fiber_loop.cc
+++ b/src/hemlockpoint/runtime/fiber_loop.cc
@@ -23,7 +23,7 @@
 // by a sanitizer.
 #if defined(__OPTIMIZE__) && !defined(__SANITIZE_ADDRESS__) && \
     !defined(__SANITIZE_THREAD__)
-constexpr std::size_t kStackBytes = std::size_t{64} * 1024;
+constexpr std::size_t kStackBytes = std::size_t{128} * 1024;
 #else
 constexpr std::size_t kStackBytes = std::size_t{256} * 1024;
 #endif
--- a/test/hemlockpoint/config/settings_test.cc
+++ b/test/hemlockpoint/config/settings_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <filesystem>
+#include <string>
 
 namespace hemlockpoint {
 namespace {
@@ -60,6 +61,20 @@
   EXPECT_NE(report.find("limits.body_mib: out of range"), std::string::npos);
 }
 
+TEST(Settings, RejectsDeepNestingBeforeItIsParsed) {
+  std::string dotted_key = "a";
+  for (int i = 0; i < 10000; ++i) {
+    dotted_key += ".a";
+  }
+  for (const std::string& text :
+       {"x = " + std::string(250, '['), dotted_key + " = 1",
+        "[" + dotted_key + "]"}) {
+    Findings findings;
+    EXPECT_FALSE(ParseSettings(text, "s.toml", findings));
+    EXPECT_NE(findings.ToText().find("nested too deeply"), std::string::npos);
+  }
+}
+
 TEST(Settings, ReportsASyntaxError) {
   Findings findings;
   EXPECT_FALSE(ParseSettings("[node\nname=", "s.toml", findings));
--- a/test/processes/limits_test.py
+++ b/test/processes/limits_test.py
@@ -15,6 +15,7 @@
 MIB = 1024 * 1024
 LIMIT = 260 * MIB
 ANSWER_S = 5
+RECOVERY_S = 10
 # Their body doesn't arrive, so each of them stays in progress.
 UNFINISHED_REQUEST = (b"POST /a/ HTTP/1.1\r\nHost: a\r\nX-Request-Id: 1\r\n"
                       b"Content-Length: 100\r\n\r\nabc")
@@ -67,6 +68,26 @@
         """Guards against the same where the limit is on the data segment."""
         self.check_requests_are_rejected([(resource.RLIMIT_DATA, LIMIT)], "127.0.95.2", 2500)
 
+    def test_a_deeply_nested_settings_file_is_refused(self):
+        """Guards against a process that ends because a file overflows the stack of its
+        parser."""
+        address = "127.0.95.4"
+        documents = ["x = " + "[" * 250, "x = " + "{a=" * 250, ".".join(["a"] * 10000) + " = 1",
+                     "[" + ".".join(["a"] * 10000) + "]"]
+        daemon = Daemon(self.binary, ROUTE_MODE, address)
+        self.addCleanup(daemon.close)
+        daemon.start()
+        self.assertTrue(daemon.await_event("started"), daemon.log())
+        for count, document in enumerate(documents):
+            with open(daemon.path, "w") as file:
+                file.write(document + "\n")
+            deadline = time.monotonic() + RECOVERY_S
+            while time.monotonic() < deadline and (
+                    daemon.log().count("event=reload_refused") <= count):
+                self.assertIsNone(daemon.process.poll(), daemon.log()[-2000:])
+                time.sleep(0.05)
+            self.assertEqual(daemon.log().count("nested too deeply"), count + 1)
+
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
