Go on if the log file can't grow

SIGXFSZ is ignored like SIGPIPE: lines that can't be written are lost.

processes.limits, test_a_log_file_that_has_reached_its_size_limit, failed before.

--- a/src/hemlockpoint/runtime/signals.cc
+++ b/src/hemlockpoint/runtime/signals.cc
@@ -20,8 +20,10 @@
 void BlockSignals() {
   const sigset_t signals = OperatorSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  // Writes to a log pipe without a reader then fail, and the line is lost.
+  // Writes to a log pipe without a reader, or to a file that has reached its
+  // size limit, then fail, and the line is lost.
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);
 }
 
 bool IsStopPending() {
--- a/src/hemlockpoint/runtime/signals.h
+++ b/src/hemlockpoint/runtime/signals.h
@@ -5,8 +5,8 @@
 
 /// @brief Makes the signals of operators (SIGHUP, SIGINT, SIGTERM) wait until
 /// UnblockSignals(), in the calling thread and those that it starts, and makes
-/// the process ignore SIGPIPE. Call it before anything else: until a handler is
-/// installed, each of these signals ends the process.
+/// the process ignore SIGPIPE and SIGXFSZ. Call it before anything else: until
+/// a handler is installed, each of these signals ends the process.
 void BlockSignals();
 
 /// @return Whether a signal to stop (SIGINT, SIGTERM) waits for
--- a/test/processes/limits_test.py
+++ b/test/processes/limits_test.py
@@ -88,6 +88,19 @@
                 time.sleep(0.05)
             self.assertEqual(daemon.log().count("nested too deeply"), count + 1)
 
+    def test_a_log_file_that_has_reached_its_size_limit(self):
+        """Guards against a process that ends because its log can't grow."""
+        address = "127.0.95.3"
+        daemon = Daemon(self.binary, ROUTE_MODE, address, [(resource.RLIMIT_FSIZE, 4096)])
+        self.addCleanup(daemon.close)
+        daemon.start()
+        self.assertTrue(daemon.await_event("started"), daemon.log())
+        for _ in range(100):
+            self.assertIn("503", exchange(address, 7003, "/a/"))
+        time.sleep(0.5)
+        self.assertIn("503", exchange(address, 7003, "/a/"))
+        self.assertIsNone(daemon.process.poll())
+
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
