Give each kind of fiber a share of the stacks of its own

A review of the bound on stacks found that new connections were reset as soon as all fibers together took half of the stacks, long before a request was refused with 503; that idle connections at one of the ports for control made readiness checks fail; and that such a 503 had no line in the log.

Connections may now take 40 % of the stacks, those of each port for control 5 %, whatever requests and calls use; requests are refused above 70 % in use, calls above 85 %. Both rejections are logged. Retry-After is a whole second, as clients in policy mode expect.

--- a/src/hemlockpoint/http/server.cc
+++ b/src/hemlockpoint/http/server.cc
@@ -24,8 +24,8 @@
 constexpr Millis kTimeoutCheckPeriod(500);
 constexpr unsigned kHttp11 = 11;
 constexpr unsigned kServiceUnavailable = 503;
-// Requests in progress end within about this time.
-constexpr const char* kRetryAfterSeconds = "0.3";
+// Whole seconds are valid for all clients.
+constexpr const char* kRetryAfterSeconds = "1";
 // Time in which the client must close its side after the last response.
 constexpr Millis kLingerTimeout(1000);
 constexpr Millis kLingerPollPeriod(50);
@@ -73,7 +73,8 @@
   }
 
   void StartServing(const std::shared_ptr<HttpConnection>& connection) {
-    const bool has_stack = m_loop.HasStackFor(m_limits.m_connection_work);
+    const bool has_stack =
+        m_loop.HasStackFor(m_limits.m_connection_work, m_connections.size());
     if (m_connections.size() >= m_limits.m_connections || !has_stack) {
       LogLine(LogLevel::kWarning, "connection_rejected")
           .With("reason", has_stack ? "limits.connections" : "stack memory")
@@ -165,6 +166,9 @@
       return false;
     }
     if (!m_loop.HasStackFor(m_limits.m_request_work)) {
+      LogLine(LogLevel::kWarning, "request_rejected")
+          .With("reason", "stack memory")
+          .With("fibers", static_cast<std::uint64_t>(m_loop.fibers()));
       RespondWithoutHandler(*connection, kServiceUnavailable, "node_overloaded",
                             "no memory for another stack");
       return false;
--- a/src/hemlockpoint/runtime/fiber_loop.cc
+++ b/src/hemlockpoint/runtime/fiber_loop.cc
@@ -28,22 +28,29 @@
 constexpr std::size_t kStackBytes = std::size_t{256} * 1024;
 #endif
 
-// Share of the stacks that may be in use when a fiber of a kind is started.
-// Connections may be idle for long, so they leave room for requests, and both
-// leave room for the calls to the local target and for what these need. The
-// fibers that accepted work needs may exceed the limit.
-constexpr double MaxUsedShare(FiberWork work) {
+// Shares of the stacks.
+struct StackShares {
+  // Maximum share that one kind of work may use.
+  double m_own = 1;
+  // Maximum share that is in use when another fiber of the kind is started.
+  double m_all = 1;
+};
+
+// Connections may be idle for long, so they leave room for requests; all leave
+// room for calls to the local target, for control and for the fibers that
+// accepted work needs, which may exceed the limit.
+constexpr StackShares SharesOf(FiberWork work) {
   switch (work) {
     case FiberWork::kConnection:
-      return 0.5;
+      return {0.4, 0.8};
     case FiberWork::kRequest:
-      return 0.7;
+      return {1, 0.7};
     case FiberWork::kCall:
-      return 0.85;
+      return {1, 0.85};
     case FiberWork::kControl:
       break;
   }
-  return 1;
+  return {0.05, 1};
 }
 
 // Round-robin scheduler that runs the io_context while no fiber is ready.
@@ -139,11 +146,15 @@
   m_state->m_max_stacks = bytes / m_state->m_stacks.bytes_per_stack();
 }
 
-bool FiberLoop::HasStackFor(FiberWork work) const {
-  const std::optional<std::size_t> max_stacks = m_state->m_max_stacks;
-  return !max_stacks ||
+bool FiberLoop::HasStackFor(FiberWork work, std::size_t running) const {
+  if (!m_state->m_max_stacks) {
+    return true;
+  }
+  const auto max_stacks = static_cast<double>(*m_state->m_max_stacks);
+  const StackShares shares = SharesOf(work);
+  return static_cast<double>(running) < max_stacks * shares.m_own &&
          static_cast<double>(m_state->m_stacks.used()) <
-             static_cast<double>(*max_stacks) * MaxUsedShare(work);
+             max_stacks * shares.m_all;
 }
 
 void FiberLoop::SpawnPeriodic(Millis period, std::function<void()> tick) {
--- a/src/hemlockpoint/runtime/fiber_loop.h
+++ b/src/hemlockpoint/runtime/fiber_loop.h
@@ -46,9 +46,10 @@
   /// is not limited.
   void SetMaxStackBytes(std::size_t bytes);
 
-  /// @return Whether a fiber may be started for new work of this kind. Fibers
-  /// that accepted work needs are always started.
-  [[nodiscard]] bool HasStackFor(FiberWork work) const;
+  /// @param running The number of fibers of this kind of work.
+  /// @return Whether another one may be started for new work. Fibers that
+  /// accepted work needs are always started.
+  [[nodiscard]] bool HasStackFor(FiberWork work, std::size_t running = 0) const;
 
   /// @brief Starts a fiber that calls `tick` immediately and again each time
   /// `period` has passed since `tick` returned, until Stop().
