--- a/src/hemlockpoint/peer/peer_links.cc
+++ b/src/hemlockpoint/peer/peer_links.cc
@@ -19,6 +19,8 @@
 constexpr long kOpenTimeoutMillis = 1000;
 constexpr long kCloseTimeoutMillis = 500;
 constexpr std::size_t kMaxLinks = 4096;
+// A handshake has a few names.
+constexpr std::size_t kMaxHandshakeBytes = std::size_t{16} * 1024;
 // Maximum message size, plus one byte for the compression format.
 constexpr std::size_t kMaxFramedBytes = kMaxMessageBytes + 1;
 
@@ -61,6 +63,7 @@
 struct PeerLinks::State {
   template <typename Connection>
   void SetHandlers(LinkId id, Connection& connection, bool inbound) {
+    connection->set_max_message_size(kMaxHandshakeBytes);
     connection->set_open_handler(
         [this, id, inbound](auto) { m_callbacks.m_opened(id, inbound); });
     connection->set_message_handler([this, id](auto, auto message) {
@@ -197,6 +200,12 @@
   return sent;
 }
 
+void PeerLinks::AcceptLongMessages(LinkId link) {
+  m_state->WithConnection(link, [](const auto& connection) {
+    connection->set_max_message_size(kMaxFramedBytes);
+  });
+}
+
 std::size_t PeerLinks::BufferedBytes(LinkId link) const {
   std::size_t bytes = 0;
   m_state->WithConnection(link, [&](const auto& connection) {
--- a/src/hemlockpoint/peer/peer_links.h
+++ b/src/hemlockpoint/peer/peer_links.h
@@ -45,6 +45,10 @@
   /// @return Whether the link was open and the message was queued.
   bool Send(LinkId link, const std::string& bytes);
 
+  /// @brief Accepts messages of every size. Until then, a link closes at one
+  /// that is longer than a handshake.
+  void AcceptLongMessages(LinkId link);
+
   /// @return Bytes queued on the link that have not been written to the socket.
   [[nodiscard]] std::size_t BufferedBytes(LinkId link) const;
 
--- a/src/hemlockpoint/transport/link_state.h
+++ b/src/hemlockpoint/transport/link_state.h
@@ -213,6 +213,7 @@
       Reject(id, link, "peer belongs to another group: " + hello->m_group);
     } else {
       link.m_is_established = true;
+      m_peer_links.AcceptLongMessages(id);
       link.m_last_received_at = SteadyNow();
       link.m_peer = hello->m_node;
       if (hello->m_failure_domain != m_hello.m_failure_domain) {
