--- a/src/hemlockpoint/runtime/start_retry.h
+++ b/src/hemlockpoint/runtime/start_retry.h
@@ -10,9 +10,10 @@
 namespace hemlockpoint {
 
 /// @brief Time for which a starting process waits for ports and folders that
-/// are in use. Covers a former process that is still ending and short
-/// connections with the local port of a listener.
-inline constexpr Millis kStartPatience{10'000};
+/// are in use. Covers a former process that is still ending, and a connection
+/// with the local port of a listener: the system keeps its port for 60 s after
+/// its end (TIME_WAIT).
+inline constexpr Millis kStartPatience{65'000};
 
 /// @brief Calls a function until it succeeds. Blocks the thread in between, so
 /// it must not be called while a FiberLoop runs.
