Take a switch of protocols for no answer

A target's 101 was passed on to the caller as a final answer, though callers take it for an interim one and wait.

No request asks for another protocol, so ReadHead now ends the connection, and the caller gets 502. Evidence: CutAnswers.ASwitchOfProtocolsIsNoAnswer got a 101 with Content-Length 0 before.

--- a/src/hemlockpoint/http/client.cc
+++ b/src/hemlockpoint/http/client.cc
@@ -237,6 +237,11 @@
       }
     } while (IsInterim(m_parser->get().result_int()));
     const auto& message = m_parser->get();
+    if (message.result() == http::status::switching_protocols) {
+      // No request asks for it, and what follows on the connection isn't HTTP.
+      Cancel();
+      return std::nullopt;
+    }
     const auto keep_alive = message[http::field::keep_alive];
     m_connection->m_keep_alive_timeout =
         ParseKeepAliveTimeout({keep_alive.data(), keep_alive.size()});
--- a/test/platform/cut_answers_test.cc
+++ b/test/platform/cut_answers_test.cc
@@ -264,6 +264,20 @@
   EXPECT_EQ(views[0].Body(), "whole");
 }
 
+// Guards against a switch of protocols, for which no caller can have asked,
+// that is passed on as an answer.
+TEST_F(CutAnswers, ASwitchOfProtocolsIsNoAnswer) {
+  std::vector<ClientView> views;
+  Run(
+      [&](tcp::socket& socket, const std::string& id) {
+        Write(socket, "HTTP/1.1 101 Switching\r\nX-Request-Id: " + id +
+                          "\r\nX-Server-Seal: s\r\n\r\n");
+        CloseSocket(socket, Close::kOrderly);
+      },
+      [&] { views = Fetch({RequestBytes("GET", "/a/", "q1")}); });
+  EXPECT_EQ(views[0].Status(), "502") << views[0].m_response;
+}
+
 TEST_F(CutAnswers, APipelinedRequestAfterACutAnswerIsAnswered) {
   std::vector<ClientView> views;
   Run(
