Surround the soak's daemons with held ports, limits and bursts

The soak found neither of two faults that ended processes: a port that is held at the start, and std::bad_alloc once stacks fill a limited address space.

At 30 % of the restarts it now holds a port of the daemon for 0.2 to 2 s, with a listener or a connection. Bursts of 400 to 1,500 unfinished requests hit a node.

--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -4,6 +4,7 @@
 import time
 
 import http1
+import surroundings
 from cluster import Cluster
 from checker import Checker, UNSAFE_KINDS
 from proxy import Proxy
@@ -23,19 +24,24 @@
 APPLY_S = 2.0
 # Number of the newest documents whose marker routes stay in later documents.
 KEPT_MARKERS = 30
+# Share of the restarts at which another program holds a port of the daemon.
+HELD_PORT_SHARE = 0.3
+# Requests of a burst, at least and at most. Nodes accept fewer.
+BURST = (400, 1500)
 # Rules with a time bound, which a busy machine can violate without a fault of the system.
 TIME_BOUND_RULES = ("held", "in force", "stops in time", "starts", "recovers")
 
 
 class SoakRun:
     """One run. With `planned_only`, all injected operations are planned: stops, drains,
-    reloads. With `timeless`, rules with a time bound aren't checked."""
+    reloads. With `is_limited`, the daemons run under limits of the system. With `timeless`,
+    rules with a time bound aren't checked."""
 
-    def __init__(self, seed, folder, binary, network, planned_only, timeless):
+    def __init__(self, seed, folder, binary, network, planned_only, is_limited, timeless, nodes):
         self.timeless = timeless
         self.rng = random.Random(seed)
         self.planned_only = planned_only
-        self.cluster = Cluster(folder, binary, network)
+        self.cluster = Cluster(folder, binary, network, is_limited)
         self.checker = Checker({prefix: {service} for prefix, (_, service, _) in ROUTES.items()},
                                timeless)
         self.targets = []
@@ -54,19 +60,19 @@
         # Newest marker that each node process was seen to apply, by process id.
         self.seen_marker = {}
         self.is_ending = False
+        self.held_ports = 0
+        self.bursts = 0
         self.request_count = 0
         # Time and success of each request.
         self.outcomes = []
-        number = 0
-        for service in SERVICES:
-            for _ in range(2):
-                number += 1
-                real = f"{network.prefix}.5.{number}:8000"
-                public = f"{network.prefix}.6.{number}:8000"
-                node = self.cluster.add_node(number, service, public)
-                self.target_proxies.append(Proxy(public, real))
-                self.targets.append(Target(f"t{number}", service, f"d{number}", real, public,
-                                           f"{node.real_ip}:7003", self.checker, self.rng))
+        for number in range(1, nodes + 1):
+            service = SERVICES[(number - 1) * len(SERVICES) // nodes]
+            real = f"{network.prefix}.5.{number}:8000"
+            public = f"{network.prefix}.6.{number}:8000"
+            node = self.cluster.add_node(number, service, public)
+            self.target_proxies.append(Proxy(public, real))
+            self.targets.append(Target(f"t{number}", service, f"d{number}", real, public,
+                                       f"{node.real_ip}:7003", self.checker, self.rng))
 
     def add_finding(self, rule, text):
         if not (self.timeless and rule in TIME_BOUND_RULES):
@@ -273,14 +279,26 @@
         """Checks that no daemon ends by itself."""
         while not self.is_ending:
             for daemon in self.cluster.daemons:
-                if daemon.has_ended_by_itself():
-                    self.add_finding("ends by itself",
-                                     f"{daemon.name} with {daemon.process.returncode}")
+                if daemon.note_end():
                     daemon.start()
             await asyncio.sleep(0.05)
 
     # Faults.
 
+    def start_again(self, daemon):
+        """Starts a daemon, sometimes while another program holds one of its ports."""
+        held_s = self.rng.uniform(0.2, 2)
+        address = (daemon.real_ip, self.rng.choice(daemon.PORTS))
+        peer = self.rng.choice((None, f"{self.cluster.network.prefix}.7.1"))
+        if self.rng.random() < HELD_PORT_SHARE:
+            try:
+                hold = surroundings.PortHold(address, peer)
+                asyncio.get_running_loop().call_later(held_s, hold.release)
+                self.held_ports += 1
+            except OSError:
+                pass
+        daemon.start()
+
     async def inject_planned_fault(self):
         choice = self.rng.choice(("stop", "stop", "stop control", "drain", "hup"))
         if choice == "stop":
@@ -292,14 +310,14 @@
             if waited_s >= 6 and self.is_settled():
                 self.add_finding("stops in time", f"{node.name} was still running after "
                                                   f"{waited_s:.1f} s")
-            node.start()
+            self.start_again(node)
             await asyncio.sleep(2)
             self.stopped_at.pop(node.name, None)
         elif choice == "stop control":
             control = self.rng.choice(self.cluster.controls)
             if control.is_alive() and not control.is_end_expected and not control.is_paused:
                 await control.stop()
-                control.start()
+                self.start_again(control)
         elif choice == "drain":
             target = self.rng.choice(self.targets)
             if target.is_draining or target.server is None:
@@ -314,7 +332,8 @@
         action = self.rng.choice((self.kill_node, self.pause_daemon, self.kill_control,
                                   self.wipe_control, self.disturb_connections,
                                   self.disturb_connections, self.crash_target,
-                                  self.disturb_target, self.kill_all_controls))
+                                  self.disturb_target, self.kill_all_controls,
+                                  self.send_burst, self.send_burst))
         self.last_unplanned_fault = time.monotonic()
         await action()
         self.last_unplanned_fault = time.monotonic()
@@ -324,7 +343,7 @@
         if node.name not in self.stopped_at and node.is_alive():
             node.kill()
             await asyncio.sleep(self.rng.uniform(0.05, 1.5))
-            node.start()
+            self.start_again(node)
 
     async def pause_daemon(self):
         daemon = self.rng.choice(self.cluster.daemons)
@@ -338,7 +357,7 @@
         if control.is_alive():
             control.kill()
             await asyncio.sleep(self.rng.uniform(0.05, 1))
-            control.start()
+            self.start_again(control)
 
     async def kill_all_controls(self):
         for control in self.cluster.controls:
@@ -347,7 +366,7 @@
         await asyncio.sleep(self.rng.uniform(0.1, 0.8))
         for control in self.cluster.controls:
             if not control.is_alive():
-                control.start()
+                self.start_again(control)
 
     async def wipe_control(self):
         # The group tolerates one lost disk, until its host has caught up; 12 s allow for that.
@@ -359,7 +378,7 @@
             control.kill()
             control.wipe()
             await asyncio.sleep(self.rng.uniform(0.1, 0.5))
-            control.start()
+            self.start_again(control)
 
     async def disturb_connections(self):
         proxies = [daemon.proxy for daemon in self.cluster.daemons] + self.target_proxies
@@ -390,6 +409,20 @@
         setattr(target, fault, 0.0)
         target.slowdown = 1.0
 
+    async def send_burst(self):
+        """Sends unfinished requests, which aren't counted, to a node."""
+        nodes = self.cluster.nodes
+        node = self.rng.choice([node for node in nodes if node.is_alive()] or nodes)
+        self.bursts += 1
+        requests = []
+        for _ in range(self.rng.randint(*BURST)):
+            request_id = f"b{self.rng.getrandbits(48):012x}"
+            prefix = self.rng.choice([p for p, (kind, _, _) in ROUTES.items() if kind != "safe"])
+            self.checker.requests[request_id] = (ROUTES[prefix][0], prefix)
+            fields = {"Host": HOST, wire.REQUEST_ID: request_id, wire.TIME_LEFT: str(DEADLINE_MS)}
+            requests.append((f"POST {prefix}{request_id} HTTP/1.1", fields))
+        await surroundings.hold_burst(node.http_address, requests, self.rng.uniform(0.5, 2))
+
     async def inject_faults(self, until):
         """Injects faults at random intervals, then waits for their end."""
         tasks = []
@@ -444,6 +477,8 @@
         for target in self.targets:
             target.crash()
         self.cluster.kill_all()
+        for end in self.cluster.ends:
+            self.add_finding("ends by itself", end)
         self.check_refused_executions()
 
     def check_recovery(self):
