Say how many losses the control group can bear

When a disk is lost while another host's data is being replaced, no control host answers any more, and nothing said before or afterwards that the group couldn't bear it: group_changed names members only, and the leader's status no numbers.

The leader now counts the voters that acknowledge it and says at each change how many of them can be lost: group_at_risk (warning) below losses_borne, otherwise group_tolerates_loss, and the gauges group_voters, group_live_voters and group_losses_borne.

--- a/src/hemlockpoint/control/group_reconciler.cc
+++ b/src/hemlockpoint/control/group_reconciler.cc
@@ -13,6 +13,7 @@
 constexpr Millis kFormRetryPeriod(200);
 constexpr Millis kLinkTimeout(400);
 constexpr Millis kCommitTimeout(2000);
+constexpr Millis kToleranceLogPeriod(100);
 // After this time the group is formed of the seeds that have replied, provided
 // that they are a majority of the seeds.
 constexpr Millis kFormWithMajorityAfter(3000);
@@ -36,6 +37,8 @@
   SetSeeds(m_settings.m_seeds);
   m_loop.SpawnPeriodic(kHostHeartbeatPeriod, [this] { SendHostHeartbeat(); });
   m_loop.SpawnPeriodic(kHostHeartbeatPeriod, [this] { ReconcileMembers(); });
+  m_loop.SpawnPeriodic(kToleranceLogPeriod,
+                       [this] { LogTolerance(SteadyNow()); });
   // Only the host with the lowest endpoint forms the group, so that two hosts
   // can't form different groups.
   const auto lowest_seed =
@@ -166,4 +169,28 @@
       .With("outcome", committed ? "committed" : committed.reason());
 }
 
+// A group that stops can't say why, so the leader says beforehand how many
+// further losses would stop it. Acks are still missing right after an election.
+void GroupReconciler::LogTolerance(Millis now) {
+  const RaftState& raft = m_group.raft();
+  if (!m_group.is_leader()) {
+    m_logged_tolerance = GroupTolerance();
+    return;
+  }
+  const GroupTolerance tolerance = AssessTolerance(raft, now);
+  const bool has_acks = now - raft.m_leading_since > kRaftHeartbeatInterval * 2;
+  if (!has_acks || tolerance == m_logged_tolerance) {
+    return;
+  }
+  m_logged_tolerance = tolerance;
+  const std::size_t required = m_settings.m_tolerated_losses;
+  LogLine(
+      tolerance.m_losses < required ? LogLevel::kWarning : LogLevel::kInfo,
+      tolerance.m_losses < required ? "group_at_risk" : "group_tolerates_loss")
+      .With("voters", static_cast<std::uint64_t>(tolerance.m_voters))
+      .With("live", static_cast<std::uint64_t>(tolerance.m_live_voters))
+      .With("losses_borne", static_cast<std::uint64_t>(tolerance.m_losses))
+      .With("required", static_cast<std::uint64_t>(required));
+}
+
 }  // namespace hemlockpoint
--- a/src/hemlockpoint/control/group_reconciler.h
+++ b/src/hemlockpoint/control/group_reconciler.h
@@ -9,6 +9,7 @@
 
 #include "hemlockpoint/config/settings.h"
 #include "hemlockpoint/control/group_planner.h"
+#include "hemlockpoint/control/group_tolerance.h"
 #include "hemlockpoint/control/raft_driver.h"
 #include "hemlockpoint/membership/control_hosts.h"
 
@@ -44,6 +45,7 @@
   void SendHostHeartbeat();
   void FormGroup();
   void ReconcileMembers();
+  void LogTolerance(Millis now);
 
   const Settings& m_settings;
   FiberLoop& m_loop;
@@ -55,6 +57,7 @@
   Millis m_elected_at;
   bool m_was_leader = false;
   Millis m_started_at;
+  GroupTolerance m_logged_tolerance;
 };
 
 }  // namespace hemlockpoint
--- a/src/hemlockpoint/relay/metrics.cc
+++ b/src/hemlockpoint/relay/metrics.cc
@@ -94,6 +94,10 @@
   AppendMetric(text, "fibers", "gauge", gauges.m_fibers);
   AppendMetric(text, "max_fibers", "gauge", gauges.m_max_fibers);
   AppendMetric(text, "leads", "gauge", gauges.m_leads);
+  AppendMetric(text, "group_voters", "gauge", gauges.m_group_voters);
+  AppendMetric(text, "group_live_voters", "gauge", gauges.m_group_live_voters);
+  AppendMetric(text, "group_losses_borne", "gauge",
+               gauges.m_group_losses_borne);
   AppendMetric(text, "bytes_between_domains_total", "counter",
                gauges.m_bytes_between_domains);
   return text.str();
--- a/src/hemlockpoint/relay/metrics.h
+++ b/src/hemlockpoint/relay/metrics.h
@@ -74,6 +74,11 @@
   double m_max_fibers = 0;
   /// 1 when this process leads the control group, else 0.
   double m_leads = 0;
+  /// Voters of the control group, those that acknowledge this leader, and how
+  /// many of them can be lost; 0 on a process that doesn't lead.
+  double m_group_voters = 0;
+  double m_group_live_voters = 0;
+  double m_group_losses_borne = 0;
   double m_bytes_between_domains = 0;
 };
 
--- a/src/hemlockpoint/relay/relay_node.cc
+++ b/src/hemlockpoint/relay/relay_node.cc
@@ -291,6 +291,13 @@
         static_cast<double>(m_links.counters().m_bytes_between_domains);
     gauges.m_fibers = static_cast<double>(m_loop.fibers());
     gauges.m_max_fibers = static_cast<double>(m_loop.max_fibers().value_or(0));
+    if (m_control) {
+      const GroupTolerance tolerance =
+          AssessTolerance(m_control->group().raft(), SteadyNow());
+      gauges.m_group_voters = static_cast<double>(tolerance.m_voters);
+      gauges.m_group_live_voters = static_cast<double>(tolerance.m_live_voters);
+      gauges.m_group_losses_borne = static_cast<double>(tolerance.m_losses);
+    }
     gauges.m_leads = m_control && m_control->group().is_leader() ? 1 : 0;
     return gauges;
   }
