Remove wiped voters as soon as their hosts are back

After a disk was lost and another one soon afterwards, no control host answered any more, so that an acknowledged document couldn't be read back.

Cause: a wiped voter counts for the majority until it is removed, which raises the majority to all others once its replacement votes. The leader looked for lost members only 2.5 s after its election, and needed two further runs of a task. The replacement could also be taken for lost itself, while its host's former instance had been heard in the last 1.5 s, and a host without a leader could ask a seed outside the group for 1.2 s.

A member is removed at once when its host reports a newer instance; hosts without a leader send their heartbeats to all seeds. A silent member still gets 2.5 s.

TreatsAHostWithANewInstanceAsANewMember expected that the host is added while its former instance is a member, which is the fault. RemovesAWipedMemberBeforeItAddsAnother checks both changes in their order, and that none follows.

--- a/src/hemlockpoint/control/group_planner.cc
+++ b/src/hemlockpoint/control/group_planner.cc
@@ -22,28 +22,26 @@
   return host != heartbeats.end() && now - host->second.m_received_at < max_age;
 }
 
-// Whether the member's host has returned with a new instance, having lost its
-// data.
-bool HasNewInstance(const HostHeartbeats& heartbeats,
-                    const GroupMember& member,
-                    Millis now) {
+// Whether the host at this peer endpoint has returned with a newer instance,
+// having lost its data.
+bool IsWiped(const HostHeartbeats& heartbeats,
+             const std::string& instance,
+             const std::string& peer) {
+  const auto own = heartbeats.find(instance);
   return std::any_of(
       heartbeats.begin(), heartbeats.end(), [&](const auto& entry) {
         const ReceivedHostHeartbeat& host = entry.second;
-        return host.m_heartbeat.m_peer == member.m_peer &&
-               host.m_heartbeat.m_instance != member.m_instance &&
-               now - host.m_received_at < kNewMemberMaxSilence;
+        return host.m_heartbeat.m_peer == peer && entry.first != instance &&
+               (own == heartbeats.end() ||
+                own->second.m_received_at < host.m_received_at);
       });
 }
 
-bool IsLost(const HostHeartbeats& heartbeats,
-            const GroupMember& member,
-            const std::string& self,
-            Millis now) {
-  if (member.m_instance == self) {
-    return false;
-  }
-  return HasNewInstance(heartbeats, member, now) ||
+bool IsSilent(const HostHeartbeats& heartbeats,
+              const GroupMember& member,
+              const std::string& self,
+              Millis now) {
+  return member.m_instance != self &&
          !WasHeardWithin(heartbeats, member.m_instance, kMemberLossTimeout,
                          now);
 }
@@ -58,7 +56,8 @@
         !host.m_heartbeat.m_group_id.empty() &&
         host.m_heartbeat.m_group_id != config.m_group_id;
     if (FindMember(config, instance) == nullptr && !is_in_other_group &&
-        now - host.m_received_at < kNewMemberMaxSilence) {
+        now - host.m_received_at < kNewMemberMaxSilence &&
+        !IsWiped(heartbeats, instance, host.m_heartbeat.m_peer)) {
       return &host.m_heartbeat;
     }
   }
@@ -93,6 +92,21 @@
 
 }  // namespace
 
+HostHeartbeats MakeInitialHeartbeats(const GroupConfig& config,
+                                     Millis elected_at) {
+  HostHeartbeats heartbeats;
+  for (const GroupMember& member : config.m_members) {
+    HostHeartbeat heartbeat;
+    heartbeat.m_node = member.m_node;
+    heartbeat.m_instance = member.m_instance;
+    heartbeat.m_peer = member.m_peer;
+    heartbeat.m_admin = member.m_admin;
+    heartbeat.m_group_id = config.m_group_id;
+    heartbeats[member.m_instance] = {std::move(heartbeat), elected_at};
+  }
+  return heartbeats;
+}
+
 std::optional<GroupConfigChange> PlanGroupChange(
     const GroupConfig& config,
     const HostHeartbeats& heartbeats,
@@ -103,7 +117,15 @@
   std::size_t live_voter_count = 0;
   const GroupMember* lost_voter = nullptr;
   for (const GroupMember& member : config.m_members) {
-    const bool is_lost = IsLost(heartbeats, member, self, now);
+    // A wiped voter has no data and can't vote. As long as it counts, the
+    // majority is that of a larger group: with three voters, its replacement
+    // makes four, of which no further one may be lost.
+    const bool is_wiped = member.m_instance != self &&
+                          IsWiped(heartbeats, member.m_instance, member.m_peer);
+    if (is_wiped) {
+      return MakeRemoval(config, member.m_instance, "data lost");
+    }
+    const bool is_lost = IsSilent(heartbeats, member, self, now);
     if (!member.m_is_voter) {
       // A lost learner is removed, so that another host can be added.
       return is_lost ? std::optional<GroupConfigChange>(MakeRemoval(
--- a/src/hemlockpoint/control/group_planner.h
+++ b/src/hemlockpoint/control/group_planner.h
@@ -30,6 +30,11 @@
 /// @brief Heartbeats by the instance of the sending host's data folder.
 using HostHeartbeats = std::map<std::string, ReceivedHostHeartbeat>;
 
+/// @return The heartbeats that a new leader starts with: each member counts as
+/// heard at the election, so that it has the time to send a heartbeat.
+[[nodiscard]] HostHeartbeats MakeInitialHeartbeats(const GroupConfig& config,
+                                                   Millis elected_at);
+
 /// @brief A change of the group's members by one member.
 struct GroupConfigChange {
   GroupConfig m_config;
@@ -39,11 +44,12 @@
   std::string m_reason;
 };
 
-/// @brief Decides the next change of the group's members. To replace a lost
-/// member, another host is added as a learner, and the lost member is removed
-/// once the learner has become a voter. A lost member without a replacement
-/// stays, since removing it would lower the number of disks that hold each
-/// entry.
+/// @brief Decides the next change of the group's members. A member whose host
+/// has returned without its data is removed at once, and another host is added
+/// as a learner. To replace a silent member, which may still have its data,
+/// another host is added first, and the silent member is removed once the
+/// learner has become a voter. A silent member without a replacement stays,
+/// since removing it would lower the number of disks that hold each entry.
 /// @param self Instance of the leader, which sends no heartbeats to itself.
 /// @param voters Number of voters that the group should have.
 /// @return The change, or nothing if none is needed or possible.
--- a/src/hemlockpoint/control/group_reconciler.cc
+++ b/src/hemlockpoint/control/group_reconciler.cc
@@ -14,6 +14,7 @@
 constexpr Millis kLinkTimeout(400);
 constexpr Millis kCommitTimeout(2000);
 constexpr Millis kToleranceLogPeriod(100);
+constexpr Millis kReconcilePeriod(100);
 // After this time the group is formed of the seeds that have replied, provided
 // that they are a majority of the seeds.
 constexpr Millis kFormWithMajorityAfter(3000);
@@ -36,7 +37,7 @@
   m_started_at = SteadyNow();
   SetSeeds(m_settings.m_seeds);
   m_loop.SpawnPeriodic(kHostHeartbeatPeriod, [this] { SendHostHeartbeat(); });
-  m_loop.SpawnPeriodic(kHostHeartbeatPeriod, [this] { ReconcileMembers(); });
+  m_loop.SpawnPeriodic(kReconcilePeriod, [this] { ReconcileMembers(); });
   m_loop.SpawnPeriodic(kToleranceLogPeriod,
                        [this] { LogTolerance(SteadyNow()); });
   // Only the host with the lowest endpoint forms the group, so that two hosts
@@ -63,33 +64,50 @@
   return heartbeat;
 }
 
+// Without a known leader the heartbeat goes to every seed: asking them in turn
+// takes longer than the time in which a wiped host has to be replaced.
 void GroupReconciler::SendHostHeartbeat() {
   if (m_group.is_leader()) {
     return;
   }
-  const Millis now = SteadyNow();
   const GroupMember* leader = m_group.leader();
   const Result<Endpoint> leader_endpoint =
       ParseEndpoint(leader ? leader->m_peer : "");
+  std::vector<Endpoint> receivers;
   if (leader_endpoint) {
-    m_hosts.m_current = *leader_endpoint;
-  } else if (IsCurrentHostSilent(m_hosts, now) ||
-             m_hosts.m_current == m_settings.m_peer) {
-    SelectNextHost(m_hosts, now);
+    receivers = {*leader_endpoint};
+  } else if (HasLeader(m_hosts, SteadyNow())) {
+    receivers = {m_hosts.m_current};
+  } else {
+    receivers = m_hosts.m_seeds;
   }
-  if (!(m_hosts.m_current == m_settings.m_peer)) {
-    m_links.SendTo(m_hosts.m_current, MakeHostHeartbeat());
+  for (const Endpoint& receiver : receivers) {
+    if (!(receiver == m_settings.m_peer)) {
+      m_links.SendTo(receiver, MakeHostHeartbeat());
+    }
   }
 }
 
 void GroupReconciler::Handle(const HostHeartbeat& heartbeat) {
+  FollowLeadership();
   if (m_group.is_leader()) {
     m_heartbeats[heartbeat.m_instance] = {heartbeat, SteadyNow()};
   }
 }
 
 void GroupReconciler::Handle(const HeartbeatAck& ack) {
-  (void)HandleHeartbeatAck(m_hosts, ack, SteadyNow());
+  const Millis now = SteadyNow();
+  const bool is_from_leader = HandleHeartbeatAck(m_hosts, ack, now);
+  const Result<Endpoint> leader = ParseEndpoint(ack.m_leader);
+  if (!leader || m_group.is_leader() || *leader == m_settings.m_peer) {
+    return;
+  }
+  m_hosts.m_current = *leader;
+  // Two hosts that disagree about the leader would name each other without end.
+  if (!is_from_leader && now - m_last_followed_at >= kHostHeartbeatPeriod) {
+    m_last_followed_at = now;
+    m_links.SendTo(*leader, MakeHostHeartbeat());
+  }
 }
 
 void GroupReconciler::FormGroup() {
@@ -140,22 +158,25 @@
   }
 }
 
-// The leader waits for one loss timeout after its election, so that every host
-// has the time to send it a heartbeat.
-void GroupReconciler::ReconcileMembers() {
+// Called before each use of the heartbeats, because an election may end between
+// two ticks.
+void GroupReconciler::FollowLeadership() {
   const bool is_leader = m_group.is_leader();
-  const Millis now = SteadyNow();
   if (is_leader != m_was_leader) {
     m_was_leader = is_leader;
-    m_elected_at = now;
-    m_heartbeats.clear();
+    m_heartbeats =
+        MakeInitialHeartbeats(m_group.raft().m_config.m_config, SteadyNow());
   }
-  if (!is_leader || now - m_elected_at < kMemberLossTimeout) {
+}
+
+void GroupReconciler::ReconcileMembers() {
+  FollowLeadership();
+  if (!m_group.is_leader()) {
     return;
   }
   const auto change = PlanGroupChange(
       m_group.raft().m_config.m_config, m_heartbeats, m_group.raft().m_instance,
-      VoterCountFor(m_settings.m_tolerated_losses), now);
+      VoterCountFor(m_settings.m_tolerated_losses), SteadyNow());
   if (!change) {
     return;
   }
--- a/src/hemlockpoint/control/group_reconciler.h
+++ b/src/hemlockpoint/control/group_reconciler.h
@@ -44,6 +44,7 @@
   HostHeartbeat MakeHostHeartbeat() const;
   void SendHostHeartbeat();
   void FormGroup();
+  void FollowLeadership();
   void ReconcileMembers();
   void LogTolerance(Millis now);
 
@@ -54,7 +55,8 @@
   std::function<std::optional<InstanceQuery>(const Endpoint&)> m_query_instance;
   ControlHosts m_hosts;
   HostHeartbeats m_heartbeats;
-  Millis m_elected_at;
+  /// Time at which a heartbeat was last sent because a reply named the leader.
+  Millis m_last_followed_at{-1e12};
   bool m_was_leader = false;
   Millis m_started_at;
   GroupTolerance m_logged_tolerance;
--- a/test/hemlockpoint/control/group_planner_test.cc
+++ b/test/hemlockpoint/control/group_planner_test.cc
@@ -62,14 +62,51 @@
   EXPECT_EQ(change->m_action + change->m_instance, "removec");
 }
 
-TEST(GroupPlanner, TreatsAHostWithANewInstanceAsANewMember) {
-  const GroupConfig config = MakeConfig({"a", "b", "c"});
+// Guards against a group that stops at the loss of a second disk: as long as a
+// wiped voter counts, its replacement raises the majority to all other voters.
+TEST(GroupPlanner, RemovesAWipedMemberBeforeItAddsAnother) {
+  GroupConfig config = MakeConfig({"a", "b", "c"});
   HostHeartbeats heartbeats = HeartbeatsOfAllMembers(config);
   // The heartbeat of the former instance is still recent.
+  AddHeartbeat(heartbeats, "c", "peer-c", kNow - Millis(100));
   AddHeartbeat(heartbeats, "c2", "peer-c", kNow);
-  const auto change = PlanGroupChange(config, heartbeats, "a", 3, kNow);
+  auto change = PlanGroupChange(config, heartbeats, "a", 3, kNow);
+  ASSERT_TRUE(change);
+  EXPECT_EQ(change->m_action + change->m_instance, "removec");
+  change = PlanGroupChange(change->m_config, heartbeats, "a", 3, kNow);
   ASSERT_TRUE(change);
   EXPECT_EQ(change->m_action + change->m_instance, "addc2");
+  change->m_config.m_members.back().m_is_voter = true;
+  EXPECT_FALSE(PlanGroupChange(change->m_config, heartbeats, "a", 3, kNow));
+}
+
+// Guards against a new member that is removed since its host's former instance
+// was heard a moment ago.
+TEST(GroupPlanner, KeepsANewMemberWhoseFormerInstanceWasHeardRecently) {
+  GroupConfig config = MakeConfig({"a", "b", "c2"});
+  config.m_members.back().m_peer = "peer-c";
+  HostHeartbeats heartbeats = HeartbeatsOfAllMembers(config);
+  AddHeartbeat(heartbeats, "c", "peer-c", kNow - Millis(100));
+  AddHeartbeat(heartbeats, "d", "peer-d", kNow);
+  EXPECT_FALSE(PlanGroupChange(config, heartbeats, "a", 3, kNow));
+}
+
+TEST(GroupPlanner, DoesNotAddAnInstanceThatWasWiped) {
+  const GroupConfig config = MakeConfig({"a", "b"});
+  HostHeartbeats heartbeats = HeartbeatsOfAllMembers(config);
+  AddHeartbeat(heartbeats, "c1", "peer-c", kNow - Millis(100));
+  AddHeartbeat(heartbeats, "c2", "peer-c", kNow);
+  const auto change = PlanGroupChange(config, heartbeats, "a", 3, kNow);
+  ASSERT_TRUE(change);
+  EXPECT_EQ(change->m_instance, "c2");
+}
+
+// A host that was started without its disk has its data again.
+TEST(GroupPlanner, KeepsAMemberThatReturnsWithItsData) {
+  const GroupConfig config = MakeConfig({"a", "b", "c"});
+  HostHeartbeats heartbeats = HeartbeatsOfAllMembers(config);
+  AddHeartbeat(heartbeats, "c2", "peer-c", kNow - Millis(100));
+  EXPECT_FALSE(PlanGroupChange(config, heartbeats, "a", 3, kNow));
 }
 
 TEST(GroupPlanner, KeepsALostMemberWithoutAReplacement) {
