Redirect operators from hosts outside the group

Of four control hosts of a deployment that has to bear one loss, the one outside the group of three answered every read and change of the document with 503, as long as it ran; an operator that knows only this host got no document.

Cause: hosts redirect to the leader that their group configuration names, and a host outside the group has none. The replies to its heartbeats named the leader's peer endpoint only.

Replies also name the leader's operator endpoint, as an optional field that older hosts ignore.

--- a/src/hemlockpoint/control/control_service.cc
+++ b/src/hemlockpoint/control/control_service.cc
@@ -94,7 +94,13 @@
                  }
                },
                [this] { return EncodeReplicatedState(m_state); }}),
-      m_documents(m_group, m_state, std::move(parse_document)),
+      m_documents(m_group,
+                  m_state,
+                  std::move(parse_document),
+                  [this] {
+                    const auto heard = m_reconciler.heard_leader();
+                    return heard ? heard->m_admin : std::string();
+                  }),
       m_reconciler(
           settings,
           loop,
@@ -120,6 +126,10 @@
   ack.m_revision = m_state.m_policy.m_document.m_revision;
   if (const GroupMember* leader = m_group.leader()) {
     ack.m_leader = leader->m_peer;
+    ack.m_leader_admin = leader->m_admin;
+  } else if (const auto heard = m_reconciler.heard_leader()) {
+    ack.m_leader = heard->m_peer;
+    ack.m_leader_admin = heard->m_admin;
   }
   return ack;
 }
--- a/src/hemlockpoint/control/document_service.cc
+++ b/src/hemlockpoint/control/document_service.cc
@@ -25,10 +25,12 @@
 
 DocumentService::DocumentService(RaftDriver& group,
                                  const ReplicatedState& state,
-                                 DocumentParser parse_document)
+                                 DocumentParser parse_document,
+                                 std::function<std::string()> find_leader)
     : m_group(group),
       m_state(state),
-      m_parse_document(std::move(parse_document)) {}
+      m_parse_document(std::move(parse_document)),
+      m_find_leader(std::move(find_leader)) {}
 
 DocumentOutcome DocumentService::MakeNotLeaderOutcome() const {
   DocumentOutcome outcome;
@@ -36,6 +38,8 @@
   const GroupMember* leader = m_group.leader();
   if (leader != nullptr && leader->m_instance != m_group.raft().m_instance) {
     outcome.m_leader = leader->m_admin;
+  } else if (leader == nullptr) {
+    outcome.m_leader = m_find_leader();
   }
   outcome.m_reason = "this host doesn't lead the control group";
   return outcome;
--- a/src/hemlockpoint/control/document_service.h
+++ b/src/hemlockpoint/control/document_service.h
@@ -42,9 +42,12 @@
 /// messages that bring nodes up to date.
 class DocumentService {
  public:
+  /// @param find_leader Returns the operator endpoint of the leader that
+  /// replies to a host outside the group, or nothing if there is none.
   DocumentService(RaftDriver& group,
                   const ReplicatedState& state,
-                  DocumentParser parse_document);
+                  DocumentParser parse_document,
+                  std::function<std::string()> find_leader);
 
   /// @brief Commits a change. Must run on a fiber.
   [[nodiscard]] DocumentOutcome Change(DocumentChange change);
@@ -68,6 +71,7 @@
   RaftDriver& m_group;
   const ReplicatedState& m_state;
   DocumentParser m_parse_document;
+  std::function<std::string()> m_find_leader;
   // An encoded push to the nodes that have one version.
   struct EncodedPush {
     DocumentVersion m_to_version;
--- a/src/hemlockpoint/control/group_reconciler.cc
+++ b/src/hemlockpoint/control/group_reconciler.cc
@@ -103,6 +103,9 @@
     return;
   }
   m_hosts.m_current = *leader;
+  if (is_from_leader) {
+    m_heard_leader = {ack.m_leader, ack.m_leader_admin.value_or("")};
+  }
   // Two hosts that disagree about the leader would name each other without end.
   if (!is_from_leader && now - m_last_followed_at >= kHostHeartbeatPeriod) {
     m_last_followed_at = now;
@@ -110,6 +113,12 @@
   }
 }
 
+std::optional<HeardLeader> GroupReconciler::heard_leader() const {
+  return HasLeader(m_hosts, SteadyNow())
+             ? std::optional<HeardLeader>(m_heard_leader)
+             : std::nullopt;
+}
+
 void GroupReconciler::FormGroup() {
   while (!m_loop.stopping() && !IsInGroup(m_group.raft())) {
     GroupConfig config;
--- a/src/hemlockpoint/control/group_reconciler.h
+++ b/src/hemlockpoint/control/group_reconciler.h
@@ -15,6 +15,12 @@
 
 namespace hemlockpoint {
 
+/// @brief The endpoints of a leader, as its reply to a heartbeat states them.
+struct HeardLeader {
+  std::string m_peer;
+  std::string m_admin;
+};
+
 /// @brief Forms the control group from the seeds, and replaces lost members,
 /// without an operator.
 class GroupReconciler {
@@ -37,6 +43,11 @@
   /// @brief Handles the reply to this host's own heartbeat.
   void Handle(const HeartbeatAck& ack);
 
+  /// @return The leader that replied to this host's heartbeats last; nothing if
+  /// no majority has acknowledged it within kMaxQuorumAckAge. A host outside
+  /// the group knows the leader only from these replies.
+  [[nodiscard]] std::optional<HeardLeader> heard_leader() const;
+
   /// @brief Replaces the seeds at which this host looks for the leader.
   void SetSeeds(std::vector<Endpoint> seeds);
 
@@ -54,6 +65,7 @@
   RaftDriver& m_group;
   std::function<std::optional<InstanceQuery>(const Endpoint&)> m_query_instance;
   ControlHosts m_hosts;
+  HeardLeader m_heard_leader;
   HostHeartbeats m_heartbeats;
   /// Time at which a heartbeat was last sent because a reply named the leader.
   Millis m_last_followed_at{-1e12};
--- a/src/hemlockpoint/wire/membership_messages.h
+++ b/src/hemlockpoint/wire/membership_messages.h
@@ -2,6 +2,7 @@
 #define HEMLOCKPOINT_WIRE_MEMBERSHIP_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -87,6 +88,8 @@
   bool m_is_leader = false;
   /// Peer endpoint of the leader; empty if unknown.
   std::string m_leader;
+  /// Operator endpoint of the leader; absent if unknown.
+  std::optional<std::string> m_leader_admin;
   /// If m_is_leader is set: time since the start of the newest heartbeat round
   /// that a majority has acknowledged (quorum ack).
   Millis m_quorum_ack_age;
@@ -100,6 +103,7 @@
   static void Visit(Self& self, Visitor& visit) {
     visit("leading", self.m_is_leader);
     visit("leader", self.m_leader);
+    visit("leader_admin", self.m_leader_admin);
     visit("proof", self.m_quorum_ack_age);
     visit("rev", self.m_revision);
     visit("hosts", self.m_hosts);
--- a/test/processes/control_group_test.py
+++ b/test/processes/control_group_test.py
@@ -177,6 +177,13 @@
         """The same where a host outside the group takes the place of the wiped one."""
         self.lose_two_disks("127.33.98", 4)
 
+    def test_hosts_outside_the_group_name_the_leader(self):
+        """Guards against a host that refuses each operator as long as it runs since it isn't a
+        member of the group."""
+        group = self.make_group("127.33.99", 4)
+        self.assertTrue(group.change(), group.logs())
+        self.assertEqual(group.await_document(group.addresses), set(), group.logs())
+
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
