Keep the calls at a node whose process is stalled

Callers got 502 target_lost while their target was at work, when the process of the target's node didn't run for longer than 1.2 s: a link whose peer left a ping unanswered was closed with all its calls.

A silent link now takes no further calls and keeps its running ones. An idempotent call leaves it only for a retry reserved at another target.

--- a/src/hemlockpoint/node/entry_attempts.cc
+++ b/src/hemlockpoint/node/entry_attempts.cc
@@ -228,7 +228,12 @@
       StartBodyStreaming(progress);
     }
   }
-  progress.m_response = progress.m_outbound.AwaitResponse(call.m_deadline);
+  // A silent node may only be stalled, with its target at work. Other than
+  // idempotent calls can't be sent to another target, so they wait for it.
+  progress.m_response =
+      call.m_verdict.m_idempotent
+          ? progress.m_outbound.AwaitResponseOrSilence(call.m_deadline)
+          : progress.m_outbound.AwaitResponse(call.m_deadline);
   if (progress.m_response) {
     RecordLoad(m_context.m_entry.m_services[call.m_request.m_service], node,
                progress.m_response->m_load, SteadyNow());
@@ -252,6 +257,10 @@
   if (state.m_is_target_lost) {
     return MakeUnknownOutcome(Reason::kNodeLost, {"link_lost", 1, 0});
   }
+  if (state.m_is_peer_silent && call.m_verdict.m_idempotent) {
+    progress.m_outbound.m_sender->Cancel("silent");
+    return MakeUnknownOutcome(Reason::kNodeLost, {"silent", 1, 0});
+  }
   progress.m_outbound.m_sender->Cancel("the deadline has passed");
   const Millis overdue_by = SteadyNow() - call.m_deadline;
   return MakeUnknownOutcome(Reason::kDeadlinePassed,
--- a/src/hemlockpoint/relay/request_router.h
+++ b/src/hemlockpoint/relay/request_router.h
@@ -41,6 +41,8 @@
   bool m_returning = false;
   /// The request that caused this nested call was itself a retry.
   bool m_is_retry_inherited = false;
+  /// The next attempt is already charged to the retry window.
+  bool m_is_retry_reserved = false;
   /// The call ended with a server error or was refused for lack of capacity.
   bool m_has_failed_under_load = false;
   /// The call of the current attempt.
@@ -74,6 +76,12 @@
   std::optional<Refusal> CheckTimeUntilStop(const RoutedCall& call) const;
   std::optional<Refusal> RunAttempts(RoutedCall& call, HttpExchange& exchange);
   AttemptResult TryTarget(RoutedCall& call, const NodeId& node);
+  /// @brief Waits for the response of an attempt.
+  /// @return The response; nullopt if there is none, or if the target's node is
+  /// silent and the call is to be sent to another one.
+  std::optional<ResponseStart> AwaitResponse(RoutedCall& call,
+                                             const NodeId& node);
+  bool TryReserveRetryElsewhere(RoutedCall& call, const NodeId& node);
   Result<OutboundCall> OpenCall(RoutedCall& call, const NodeId& node);
   CallStart MakeCallStart(const RoutedCall& call) const;
   std::optional<NodeId> ChooseTarget(const RoutedCall& call);
--- a/src/hemlockpoint/relay/request_router_attempts.cc
+++ b/src/hemlockpoint/relay/request_router_attempts.cc
@@ -216,6 +216,9 @@
 // idempotent or the first target reported that it did not run it. Charges the
 // retry window when it returns true.
 bool RequestRouter::TryReserveRetry(RoutedCall& call, const Refusal& refusal) {
+  if (std::exchange(call.m_is_retry_reserved, false)) {
+    return true;
+  }
   const bool idempotent = call.m_route->m_kind == WorkKind::kSafe;
   const bool not_run = refusal.m_execution == Execution::kNotRun;
   const Millis now = SteadyNow();
@@ -233,6 +236,42 @@
   return true;
 }
 
+// While an attempt at `node` is in progress: reserves a retry at another
+// target.
+bool RequestRouter::TryReserveRetryElsewhere(RoutedCall& call,
+                                             const NodeId& node) {
+  call.m_tried_nodes.push_back(node);
+  const bool has_other_target = ChooseTarget(call).has_value();
+  call.m_tried_nodes.pop_back();
+  if (!has_other_target) {
+    return false;
+  }
+  ++call.m_attempts;
+  call.m_is_retry_reserved = TryReserveRetry(
+      call, MakeUnknownOutcome(Reason::kNodeLost, {"silent", 1, 0}));
+  --call.m_attempts;
+  return call.m_is_retry_reserved;
+}
+
+// A node that is silent may only be stalled, with its target at work. Giving
+// the attempt up is of use only if the request can be sent to another target.
+std::optional<ResponseStart> RequestRouter::AwaitResponse(RoutedCall& call,
+                                                          const NodeId& node) {
+  const OutboundCall& outbound = *call.m_outbound;
+  const CallState& state = *outbound.m_state;
+  const Millis until = call.m_deadline + kResponseGrace;
+  if (call.m_route->m_kind != WorkKind::kSafe) {
+    return outbound.AwaitResponse(until);
+  }
+  auto response = outbound.AwaitResponseOrSilence(until);
+  const bool is_only_silent = !response && state.m_is_peer_silent &&
+                              !state.m_is_target_lost && !state.m_cancelled;
+  if (!is_only_silent || TryReserveRetryElsewhere(call, node)) {
+    return response;
+  }
+  return outbound.AwaitResponse(until);
+}
+
 CallStart RequestRouter::MakeCallStart(const RoutedCall& call) const {
   const Millis now = SteadyNow();
   CallStart start;
@@ -304,7 +343,7 @@
       }
     }
   }
-  result.m_response = outbound.AwaitResponse(call.m_deadline + kResponseGrace);
+  result.m_response = AwaitResponse(call, node);
   if (result.m_response && result.m_response->m_refusal) {
     result.m_refusal = std::move(result.m_response->m_refusal);
     if (call.m_nested) {
@@ -319,13 +358,16 @@
     }
     result.m_response.reset();
   } else if (!result.m_response) {
-    const bool is_lost = outbound.m_state->m_is_target_lost;
-    if (!is_lost) {
-      outbound.m_sender->Cancel("deadline");
+    const bool is_link_lost = outbound.m_state->m_is_target_lost;
+    const bool is_lost = is_link_lost || call.m_is_retry_reserved;
+    if (!is_link_lost) {
+      outbound.m_sender->Cancel(is_lost ? "silent" : "deadline");
     }
     result.m_refusal = MakeUnknownOutcome(
         is_lost ? Reason::kNodeLost : Reason::kDeadlinePassed,
-        {is_lost ? "link_lost" : "ms_left",
+        {is_link_lost ? "link_lost"
+         : is_lost    ? "silent"
+                      : "ms_left",
          (call.m_deadline - SteadyNow()).value(), 0});
   }
   return result;
--- a/src/hemlockpoint/transport/call.cc
+++ b/src/hemlockpoint/transport/call.cc
@@ -87,6 +87,10 @@
   return !m_is_closed;
 }
 
+bool SendCredit::HasEnded() const {
+  return m_is_closed || (m_deadline && SteadyNow() >= *m_deadline);
+}
+
 void CallState::GrantRequestBody(std::size_t bytes) {
   m_has_request_credit = true;
   m_request_credit.Add(bytes);
@@ -131,15 +135,27 @@
   m_changed.Notify();
 }
 
+void CallState::MarkSilent() {
+  m_is_peer_silent = true;
+  m_changed.Notify();
+}
+
 std::optional<ResponseStart> OutboundCall::AwaitResponse(Millis until) const {
   CallState& state = *m_state;
-  const bool settled = state.m_changed.WaitUntil(until, [&state] {
+  (void)state.m_changed.WaitUntil(until, [&state] {
     return state.m_response.has_value() || state.m_is_target_lost ||
            state.m_cancelled;
   });
-  if (!settled || !state.m_response) {
-    return std::nullopt;
-  }
+  return state.m_response;
+}
+
+std::optional<ResponseStart> OutboundCall::AwaitResponseOrSilence(
+    Millis until) const {
+  CallState& state = *m_state;
+  (void)state.m_changed.WaitUntil(until, [&state] {
+    return state.m_response.has_value() || state.m_is_target_lost ||
+           state.m_cancelled || state.m_is_peer_silent;
+  });
   return state.m_response;
 }
 
--- a/src/hemlockpoint/transport/call.h
+++ b/src/hemlockpoint/transport/call.h
@@ -35,6 +35,9 @@
   /// has reached the deadline.
   [[nodiscard]] bool Take(std::size_t bytes);
 
+  /// @return Whether Take() no longer waits: closed, or past the deadline.
+  [[nodiscard]] bool HasEnded() const;
+
  private:
   std::int64_t m_bytes;
   bool m_is_closed = false;
@@ -54,6 +57,9 @@
   bool m_has_request_credit = false;
   /// The target's node has aborted the call, or the link to it closed.
   bool m_is_target_lost = false;
+  /// The target's node has not responded to a ping in time. It may still be at
+  /// work on the call.
+  bool m_is_peer_silent = false;
   /// The entry side has cancelled the call, or the link to it closed.
   bool m_cancelled = false;
   /// Called by the first Cancel(): when the entry side cancels the call or the
@@ -81,6 +87,9 @@
   /// @brief Marks the target side as lost: waiting for a response or for
   /// credit ends, and a partial response body counts as truncated.
   void MarkLost();
+
+  /// @brief Marks the target's node as silent.
+  void MarkSilent();
 };
 
 /// @brief Entry side of a call: sends the request to the target's node.
@@ -121,6 +130,11 @@
   /// @return The response; nullopt if `until` passes, the call is cancelled or
   /// the target's node is lost before the response has arrived.
   [[nodiscard]] std::optional<ResponseStart> AwaitResponse(Millis until) const;
+
+  /// @brief Waits for the response, but no longer once the target's node is
+  /// silent.
+  [[nodiscard]] std::optional<ResponseStart> AwaitResponseOrSilence(
+      Millis until) const;
 };
 
 /// @brief A call received for this node's own target.
--- a/src/hemlockpoint/transport/link_senders.cc
+++ b/src/hemlockpoint/transport/link_senders.cc
@@ -19,7 +19,7 @@
     chunk.m_call = m_call;
     chunk.m_body.m_data = std::move(bytes);
     chunk.m_complete = complete;
-    return m_manager.SendWithBackpressure(m_link, chunk);
+    return m_manager.SendWithBackpressure(m_link, chunk, credit);
   }
 
   void SendAbort(const std::string& reason) {
--- a/src/hemlockpoint/transport/link_state.h
+++ b/src/hemlockpoint/transport/link_state.h
@@ -32,6 +32,9 @@
 /// @brief Time in which any message must follow a ping. On a congested network
 /// path, packets are delayed by half a second in each direction.
 inline constexpr Millis kPingTimeout(1000);
+/// @brief Time after an unanswered ping from which on a link is closed although
+/// calls are in progress on it.
+inline constexpr Millis kMaxSilenceWithCalls(10'000);
 inline constexpr Millis kLivenessCheckPeriod(100);
 /// @brief Time between two liveness checks from which on this process counts as
 /// stalled.
@@ -50,6 +53,8 @@
   bool m_is_established = false;
   /// The link is closed once its calls have ended.
   bool m_is_retired = false;
+  /// The peer has not responded to a ping in time while calls were in progress.
+  bool m_is_silent = false;
   NodeId m_peer;
   Endpoint m_endpoint;
   CallTable m_calls;
@@ -117,9 +122,14 @@
   }
 
   // Sends a message once the bytes queued on the link are below the high
-  // watermark.
-  bool SendWithBackpressure(LinkId id, const Message& message) {
+  // watermark, unless its call ends first.
+  bool SendWithBackpressure(LinkId id,
+                            const Message& message,
+                            const SendCredit& credit) {
     while (m_peer_links.BufferedBytes(id) > internal::kSendHighWatermarkBytes) {
+      if (credit.HasEnded()) {
+        return false;
+      }
       SleepFor(internal::kBufferPollPeriod);
     }
     return Send(id, message);
@@ -319,9 +329,27 @@
     }
   }
 
-  // Pings idle peers on outbound links and closes links whose peer does not
-  // reply, and inbound links whose peer sends no pings. A broken connection may
-  // report no error. Also closes retired links without calls.
+  // Takes no further calls on a link whose peer has not replied to a ping. The
+  // process of the peer may only be stalled, with its target at work, so the
+  // calls in progress stay, and their owners decide how long they wait.
+  void MarkSilent(LinkId id, LinkInfo& link) {
+    LogLine(LogLevel::kWarning, "peer_stalled")
+        .With("peer", link.m_peer.value())
+        .With("calls", static_cast<std::uint64_t>(link.m_calls.size()));
+    link.m_is_silent = true;
+    link.m_is_retired = true;
+    const auto by_endpoint = m_by_endpoint.find(link.m_endpoint);
+    if (by_endpoint != m_by_endpoint.end() && by_endpoint->second == id) {
+      m_by_endpoint.erase(by_endpoint);
+    }
+    for (const auto& [call, state] : link.m_calls) {
+      state->MarkSilent();
+    }
+  }
+
+  // Pings idle peers on outbound links and closes links without calls whose
+  // peer does not reply, and inbound links whose peer sends no pings. A broken
+  // connection may report no error. Also closes retired links without calls.
   void CheckLinks() {
     const Millis now = SteadyNow();
     // After a stall of this process, messages that arrived meanwhile are still
@@ -353,8 +381,12 @@
                                         ? internal::kPingIdleThreshold
                                         : internal::kPingIdleThresholdWithCalls;
       if (link.m_ping_sent_at != Millis(0)) {
-        if (now - link.m_ping_sent_at > internal::kPingTimeout) {
+        const Millis silence = now - link.m_ping_sent_at;
+        if (silence > (link.m_calls.empty() ? internal::kPingTimeout
+                                            : internal::kMaxSilenceWithCalls)) {
           dead.push_back(id);
+        } else if (silence > internal::kPingTimeout && !link.m_is_silent) {
+          MarkSilent(id, link);
         }
       } else if (now - link.m_last_received_at > idle_threshold) {
         link.m_ping_sent_at = now;
