Wait at a stop until closing connections are closed

A client that read slowly and sent on got 3,895 of 40,960 bytes of a response and a reset, when the entry node was stopped: the process exited 50 ms after it had written the response to its socket, with unread bytes on the connection, so that the kernel dropped what it hadn't sent.

Ruled out: the target (its answer was complete) and the drain timeout (the exit came 2.65 s after SIGTERM, of 5.1 s).

A connection that is closing counts as unanswered until its client has closed its side or the linger time of 1 s is over. A connection doesn't begin to wait for a request after its close, which nothing ended but the client or the idle timeout; HttpServer.DrainAnswersRequestsThatHaveJustArrived hung on that with the first change alone, and passes.

--- a/src/hemlockpoint/http/server.cc
+++ b/src/hemlockpoint/http/server.cc
@@ -106,11 +106,15 @@
     }
   }
 
+  // A connection that is closing counts as well, until its client has closed
+  // its side or Linger() has ended: if the process exited with unread bytes,
+  // the connection would be reset, and the client would lose the rest of a
+  // response that it is still receiving.
   bool HasUnansweredRequests() const {
-    return std::any_of(m_connections.begin(), m_connections.end(),
-                       [](const auto& connection) {
-                         return connection->HasUnansweredRequest();
-                       });
+    return std::any_of(
+        m_connections.begin(), m_connections.end(), [](const auto& connection) {
+          return connection->m_is_closing || connection->HasUnansweredRequest();
+        });
   }
 
   // Prevents a busy loop while the process is out of file descriptors.
@@ -148,7 +152,9 @@
       return connection->m_is_closing || connection->can_read_request();
     };
     connection->m_changed.Wait(can_proceed);
-    if (connection->m_buffer.size() == 0 && !AwaitFirstByte(*connection)) {
+    // Nothing would end a wait that begins after the close.
+    if (connection->m_is_closing ||
+        (connection->m_buffer.size() == 0 && !AwaitFirstByte(*connection))) {
       return false;
     }
     // CloseAfterResponses() may have been called while this fiber waited for
--- a/src/hemlockpoint/http/server.h
+++ b/src/hemlockpoint/http/server.h
@@ -108,7 +108,8 @@
   void Drain();
 
   /// @return Whether a client has sent bytes of a request, read or not, that
-  /// has no complete response yet.
+  /// has no complete response yet, or whether a connection is still closing
+  /// after its last response.
   [[nodiscard]] bool HasUnansweredRequests() const;
 
   /// @return Number of open connections.
