--- a/test/processes/crash_test.py
+++ b/test/processes/crash_test.py
@@ -11,7 +11,7 @@
 import time
 import unittest
 
-from daemon import ROUTE_MODE, Daemon
+from daemon import ROUTE_MODE, Daemon, make_full_pipe
 
 END_S = 10
 CONNECTIONS = 600
@@ -42,13 +42,8 @@
         """Guards against a process that hangs in a crash while its log pipe is full."""
         daemon = Daemon(self.binary, ROUTE_MODE, "127.0.97.65")
         self.addCleanup(daemon.close)
-        reader, writer = os.pipe()
+        reader, writer = make_full_pipe()
         self.addCleanup(os.close, reader)
-        os.set_blocking(writer, False)
-        with self.assertRaises(BlockingIOError):
-            while True:
-                os.write(writer, b"\n" * 512)
-        os.set_blocking(writer, True)
         daemon.start(writer)
         os.close(writer)
         time.sleep(2)
--- a/test/processes/daemon.py
+++ b/test/processes/daemon.py
@@ -46,6 +46,18 @@
 """
 
 
+def make_full_pipe():
+    """Returns the ends of a pipe, to read and to write, which accepts no more data."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    try:
+        while True:
+            os.write(writer, b"\n" * 512)
+    except BlockingIOError:
+        os.set_blocking(writer, True)
+    return reader, writer
+
+
 class Daemon:
     """A daemon that can be held while it reads its settings, which is before it
     has installed any handler. `limits` are pairs of a resource and its limit in bytes."""
--- a/test/processes/signals_test.py
+++ b/test/processes/signals_test.py
@@ -9,7 +9,7 @@
 import time
 import unittest
 
-from daemon import POLICY_MODE, ROUTE_MODE, Daemon
+from daemon import POLICY_MODE, ROUTE_MODE, Daemon, make_full_pipe
 
 STOP_S = 10
 
@@ -54,13 +54,8 @@
     def test_stop_while_the_log_pipe_is_full(self):
         """Guards against a process that doesn't stop because nobody reads its log."""
         daemon = self.make_daemon(ROUTE_MODE, "127.0.94.5")
-        reader, writer = os.pipe()
+        reader, writer = make_full_pipe()
         self.addCleanup(os.close, reader)
-        os.set_blocking(writer, False)
-        with self.assertRaises(BlockingIOError):
-            while True:
-                os.write(writer, b"\n" * 512)
-        os.set_blocking(writer, True)
         daemon.start(writer)
         os.close(writer)
         time.sleep(2)
