--- a/src/hemlockpoint/runtime/crash_lines.cc
+++ b/src/hemlockpoint/runtime/crash_lines.cc
@@ -19,6 +19,13 @@
 
 namespace {
 
+// The sanitizers report these signals themselves.
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr bool kHasSanitizer = true;
+#else
+constexpr bool kHasSanitizer = false;
+#endif
+
 constexpr std::array<int, 5> kCrashSignals = {SIGABRT, SIGBUS, SIGFPE, SIGILL,
                                               SIGSEGV};
 constexpr std::size_t kMaxNodeBytes = 64;
@@ -161,8 +168,9 @@
   g_crash.m_file = file;
   ::dl_iterate_phdr(&StoreProgramBase, nullptr);
   std::set_terminate(&HandleTerminate);
-// The sanitizers report these signals themselves.
-#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+  if (kHasSanitizer) {
+    return;
+  }
   // The first call of backtrace() allocates memory.
   std::array<void*, 1> frame{};
   ::backtrace(frame.data(), 1);
@@ -177,7 +185,6 @@
   for (const int number : kCrashSignals) {
     ::sigaction(number, &action, nullptr);
   }
-#endif
 }
 
 }  // namespace hemlockpoint
