Keep the error output of the tested daemons out of full pipes

processes.signals failed in the build with sanitizers, twice of two: at the exit, the sanitizer reports to the standard error, which was the full pipe of the test, and waited for ever. The daemon's log is on standard output, which stays the full pipe; standard error goes to a file. The checks are as before.

--- a/test/processes/daemon.py
+++ b/test/processes/daemon.py
@@ -72,9 +72,9 @@
         self.process = None
         self.pipe = None
 
-    def spawn(self, stdout):
+    def spawn(self, stdout, stderr):
         self.process = subprocess.Popen([self.binary, "--settings", self.path], stdout=stdout,
-                                        stderr=subprocess.STDOUT, preexec_fn=self.set_limits)
+                                        stderr=stderr, preexec_fn=self.set_limits)
 
     def set_limits(self):
         resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
@@ -85,7 +85,7 @@
         """Starts the process and returns once it waits for its settings."""
         os.mkfifo(self.path)
         with open(self.log_path, "w") as log:
-            self.spawn(log)
+            self.spawn(log, log)
         # Returns when the process has opened the other end.
         self.pipe = open(self.path, "w")
 
@@ -102,7 +102,7 @@
         with open(self.path, "w") as file:
             file.write(self.settings)
         with open(self.log_path, "w") as log:
-            self.spawn(stdout or log)
+            self.spawn(stdout or log, log)
 
     def log(self):
         with open(self.log_path) as file:
