Copy the path of a health check before it connects

A restarted node that meets its target asks it for its health. If a document came into force while that connection was being opened, the node asked for a path from freed memory, or could end with signal 11.

Cause: QueryHealth() kept a pointer into the route table over the wait.

Evidence: the new test got "GET \x1" "C\x2_\x5...onger/than/a/short/string" before, in an ordinary build, and the path of the document after.

--- a/src/hemlockpoint/relay/slot_dispatcher_health.cc
+++ b/src/hemlockpoint/relay/slot_dispatcher_health.cc
@@ -33,14 +33,15 @@
   if (service == nullptr || service->m_health_path.empty()) {
     return std::nullopt;
   }
+  // Another document may be in force once the connection is open.
+  HttpRequestHead head;
+  head.m_method = "GET";
+  head.m_path = service->m_health_path;
   HttpClientPool pool(m_context.m_loop.io(), place.m_endpoint, 1);
   auto opened = pool.Open(kProbePeriod);
   if (!opened) {
     return std::nullopt;
   }
-  HttpRequestHead head;
-  head.m_method = "GET";
-  head.m_path = service->m_health_path;
   head.m_headers.push_back({"Host", ToText(place.m_endpoint)});
   std::shared_ptr<HttpClientCall> call = std::move(*opened);
   // Limits the probe's duration: an overloaded target may keep it waiting for a
