Form the control group of the seeds of the start

Found by the search for the class of the aborted leader; nobody has reported it. A control host whose settings were reloaded with other seeds while it formed the group ended, or would form it of hosts that the other control hosts don't expect.

Cause: FormGroup() iterated over the seeds in the settings, and waited for a reply of each host in the loop. A reload replaces the seeds.

Change: the seeds are copied at the start. All control hosts are started with the same ones, and the host with the lowest of them forms the group, so those of a later reload must not count.

--- a/src/hemlockpoint/control/group_reconciler.cc
+++ b/src/hemlockpoint/control/group_reconciler.cc
@@ -46,7 +46,7 @@
       std::min_element(m_settings.m_seeds.begin(), m_settings.m_seeds.end());
   if (m_settings.m_may_form_group && lowest_seed != m_settings.m_seeds.end() &&
       *lowest_seed == m_settings.m_peer) {
-    m_loop.Spawn([this] { FormGroup(); });
+    m_loop.Spawn([this, seeds = m_settings.m_seeds] { FormGroup(seeds); });
   }
 }
 
@@ -119,12 +119,14 @@
              : std::nullopt;
 }
 
-void GroupReconciler::FormGroup() {
+// Takes the seeds of the start, which the other hosts have, too. A reload may
+// replace those in the settings meanwhile.
+void GroupReconciler::FormGroup(const std::vector<Endpoint>& seeds) {
   while (!m_loop.stopping() && !IsInGroup(m_group.raft())) {
     GroupConfig config;
     config.m_group_id = MakeRandomId();
     bool is_group_formed = false;
-    for (const Endpoint& seed : m_settings.m_seeds) {
+    for (const Endpoint& seed : seeds) {
       GroupMember member;
       member.m_peer = ToText(seed);
       member.m_is_voter = true;
@@ -151,10 +153,8 @@
           .With("peer", ToText(m_settings.m_peer));
       return;
     }
-    const bool has_all_seeds =
-        config.m_members.size() == m_settings.m_seeds.size();
-    const bool has_majority =
-        config.m_members.size() * 2 > m_settings.m_seeds.size();
+    const bool has_all_seeds = config.m_members.size() == seeds.size();
+    const bool has_majority = config.m_members.size() * 2 > seeds.size();
     const bool is_overdue = SteadyNow() - m_started_at > kFormWithMajorityAfter;
     if (has_all_seeds || (has_majority && is_overdue)) {
       LogLine(LogLevel::kInfo, "group_formed")
--- a/src/hemlockpoint/control/group_reconciler.h
+++ b/src/hemlockpoint/control/group_reconciler.h
@@ -54,7 +54,7 @@
  private:
   HostHeartbeat MakeHostHeartbeat() const;
   void SendHostHeartbeat();
-  void FormGroup();
+  void FormGroup(const std::vector<Endpoint>& seeds);
   void FollowLeadership();
   void ReconcileMembers();
   void LogTolerance(Millis now);
