Let a pool of connections be destroyed while it connects

In policy mode, a target that announces a new process replaces the pool of connections to it. A call that was opening a connection then used the freed pool.

Cause: HttpClientPool::Open() used its own state after the wait.

Change: Open() holds the state, so that no caller has to. Route mode held the pool itself already.

--- a/src/hemlockpoint/http/client.cc
+++ b/src/hemlockpoint/http/client.cc
@@ -318,17 +318,19 @@
     Millis timeout,
     Millis max_idle_time) {
   using CallResult = Result<std::unique_ptr<HttpClientCall>>;
-  std::unique_ptr<Connection> connection = m_state->TakeIdle(max_idle_time);
+  // The pool may be destroyed while it connects.
+  const std::shared_ptr<State> state = m_state;
+  std::unique_ptr<Connection> connection = state->TakeIdle(max_idle_time);
   const bool is_reused = connection != nullptr;
   if (!connection) {
-    auto connected = m_state->Connect(timeout);
+    auto connected = state->Connect(timeout);
     if (!connected) {
       return CallResult::Failure(connected.reason());
     }
     connection = std::move(*connected);
   }
   std::unique_ptr<HttpClientCall> call =
-      std::make_unique<Call<State>>(m_state, std::move(connection), is_reused);
+      std::make_unique<Call<State>>(state, std::move(connection), is_reused);
   return call;
 }
 
--- a/src/hemlockpoint/http/client.h
+++ b/src/hemlockpoint/http/client.h
@@ -63,7 +63,8 @@
   HttpClientPool(const HttpClientPool&) = delete;
   HttpClientPool& operator=(const HttpClientPool&) = delete;
 
-  /// @brief Takes an idle connection or opens a new one.
+  /// @brief Takes an idle connection or opens a new one. The pool may be
+  /// destroyed meanwhile.
   /// @param timeout Maximum time to connect.
   /// @param max_idle_time Connections that have been idle for longer are not
   /// taken. The server may be closing such a connection, and then it is unknown
