Don't leave the leader because the host asked before it fails

Found by the search for the class of the aborted leader; nobody has reported it. A node that was waiting for a link to a lost control host, and was told the leader by another one meanwhile, asked a third host next and closed its link to the leader for further use.

Cause: SendHeartbeat() read the current host again after the wait, and counted the failure of the former one against it.

--- a/src/hemlockpoint/node/membership_client.cc
+++ b/src/hemlockpoint/node/membership_client.cc
@@ -67,10 +67,13 @@
   if (IsCurrentHostSilent(m_hosts, now)) {
     FailOverToNextHost();
   }
-  const Result<LinkId> link =
-      m_links.EnsureLink(m_hosts.m_current, now + kLinkTimeout);
+  const Endpoint host = m_hosts.m_current;
+  const Result<LinkId> link = m_links.EnsureLink(host, now + kLinkTimeout);
   if (!link) {
-    FailOverToNextHost();
+    // An ack may have named the leader meanwhile.
+    if (host == m_hosts.m_current) {
+      FailOverToNextHost();
+    }
     return;
   }
   m_links.Send(*link, MakeHeartbeat());
