Share the encoded whole document between nodes that lag far behind

Found while the aborted leader was traced. The leader encoded the whole document anew for each node that lagged by more than 16 versions.

Cause: of the 16 encoded pushes that are kept, the one with the lowest version was dropped first. The whole document is kept under version 0, so it was dropped as soon as it was made.

Change: pushes to a former document are dropped when a newer one is in force, which bounds them by the documents from which differences are computed.

--- a/src/hemlockpoint/control/document_service.cc
+++ b/src/hemlockpoint/control/document_service.cc
@@ -153,21 +153,17 @@
   }
   const std::shared_ptr<const RouteDocument> older =
       is_full ? nullptr : FindRecentDocument(version);
+  if (m_encoded_version != newest_version) {
+    m_encoded_pushes.clear();
+    m_encoded_version = newest_version;
+  }
   EncodedPush& push = m_encoded_pushes[older ? version : DocumentVersion()];
-  const bool is_reusable = push.m_message &&
-                           push.m_to_version == newest_version &&
-                           now - push.m_encoded_at < kEncodedPushLifetime;
-  if (!is_reusable) {
+  if (!push.m_message || now - push.m_encoded_at >= kEncodedPushLifetime) {
     DocumentPush message = MakeDocumentPush(older.get(), *newest);
     message.m_quorum_ack_age = quorum_ack_age;
-    push = {newest_version, now,
-            std::make_shared<const std::string>(EncodeMessage(message))};
-  }
-  const std::shared_ptr<const std::string> encoded = push.m_message;
-  if (m_encoded_pushes.size() > kMaxRecentDocuments) {
-    m_encoded_pushes.erase(m_encoded_pushes.begin());
+    push = {now, std::make_shared<const std::string>(EncodeMessage(message))};
   }
-  return encoded;
+  return push.m_message;
 }
 
 }  // namespace hemlockpoint
--- a/src/hemlockpoint/control/document_service.h
+++ b/src/hemlockpoint/control/document_service.h
@@ -77,12 +77,13 @@
   std::function<std::string()> m_find_leader;
   // An encoded push to the nodes that have one version.
   struct EncodedPush {
-    DocumentVersion m_to_version;
     Millis m_encoded_at;
     std::shared_ptr<const std::string> m_message;
   };
-  /// By the version that the difference is based on; 0 for the whole document.
+  /// Pushes of m_encoded_version, by the version that the difference is based
+  /// on; 0 for the whole document.
   std::map<DocumentVersion, EncodedPush> m_encoded_pushes;
+  DocumentVersion m_encoded_version;
   /// Recent documents, from which differences are computed.
   std::map<DocumentVersion, std::shared_ptr<const RouteDocument>>
       m_recent_documents;
--- a/test/hemlockpoint/control/document_service_test.cc
+++ b/test/hemlockpoint/control/document_service_test.cc
@@ -102,5 +102,19 @@
   });
 }
 
+// Guards against a leader that encodes the whole document for each node that
+// lags far behind.
+TEST_F(DocumentServiceTest, NodesThatLagFarBehindShareOneEncodedPush) {
+  m_host.RunAsLeader([&] {
+    for (std::uint64_t version = 1; version <= kVersions; ++version) {
+      CommitVersion(version);
+      ExpectUpdate(version - 1, version);
+    }
+    const auto push = PushFor(kVersions - kMaxLag);
+    EXPECT_EQ(Decode(push).m_since, DocumentVersion());
+    EXPECT_EQ(PushFor(kVersions - kMaxLag - 1), push);
+  });
+}
+
 }  // namespace
 }  // namespace hemlockpoint
