Send a node the next document once it has the last one

Cause: each new version was sent at once, at most 10 in a second, whether or not the one before had arrived; after 16 changes it was the whole document. A node that has the one before by then can't use the difference either.

Change: one document is in transit to a node, for 1 s at most, and nothing is sent while more than 64 KiB are queued for it.

--- a/src/hemlockpoint/control/control_service.h
+++ b/src/hemlockpoint/control/control_service.h
@@ -118,6 +118,7 @@
 
   void Tick();
   void FollowLeadership();
+  void PushState(LinkId link, NodeState& node, Millis now);
   void PushDirectory(LinkId link, NodeState& node, Millis now);
   void PushPolicy(LinkId link, NodeState& node, Millis now);
   void PushClaimSets(LinkId link, NodeState& node);
--- a/src/hemlockpoint/transport/link_manager.cc
+++ b/src/hemlockpoint/transport/link_manager.cc
@@ -106,6 +106,10 @@
   m_state->m_outboxes.erase(outbox);
 }
 
+std::size_t LinkManager::BufferedBytes(LinkId link) const {
+  return m_state->m_peer_links.BufferedBytes(link);
+}
+
 void LinkManager::Close(LinkId link) {
   m_state->m_peer_links.Close(link);
 }
--- a/src/hemlockpoint/transport/link_manager.h
+++ b/src/hemlockpoint/transport/link_manager.h
@@ -93,6 +93,9 @@
   /// dropped.
   void SendTo(const Endpoint& endpoint, Message message);
 
+  /// @return Bytes queued on the link that the network hasn't taken yet.
+  [[nodiscard]] std::size_t BufferedBytes(LinkId link) const;
+
   void Close(LinkId link);
 
   /// @brief Closes the link to an endpoint once the calls on it have ended. It
--- a/test/hemlockpoint/control/control_service_test.cc
+++ b/test/hemlockpoint/control/control_service_test.cc
@@ -16,6 +16,13 @@
 const char* const kAddress = "127.0.90.1";
 const ServiceName kStock("stock");
 
+// The text of a document is its version.
+Result<RouteDocument> ParseTestDocument(const std::string& text) {
+  RouteDocument document;
+  document.m_version = DocumentVersion(std::stoull(text));
+  return document;
+}
+
 // A group of one control host, and a node that sends it heartbeats.
 class ControlServiceTest : public testing::Test {
  protected:
@@ -35,7 +42,7 @@
                  [this](LinkId link, const NodeId&) {
                    m_control.OnLinkClosed(link);
                  }}),
-        m_control(m_settings, m_loop, m_links),
+        m_control(m_settings, m_loop, m_links, ParseTestDocument),
         m_node_links(m_loop,
                      MakeHello("n1"),
                      64,
@@ -69,6 +76,25 @@
       m_origin = delta->m_origin;
       m_full_deltas += delta->m_is_full ? 1 : 0;
       ++m_deltas;
+    } else if (const auto* push = std::get_if<DocumentPush>(&message)) {
+      m_document_at_node = push->m_version;
+      ++m_document_pushes;
+    }
+  }
+
+  // Commits a document each `period` while the host leads.
+  void ChangeDocuments(int count, Millis period) {
+    while (m_leader_since == Millis(0)) {
+      SleepFor(Millis(5));
+    }
+    for (int i = 1; i <= count; ++i) {
+      DocumentChange change;
+      change.m_base = m_control.state().m_documents.m_version;
+      change.m_version = DocumentVersion(static_cast<std::uint64_t>(i));
+      change.m_text.m_data = std::to_string(i);
+      EXPECT_EQ(m_control.documents().Change(change).m_kind,
+                DocumentOutcome::Kind::kAccepted);
+      SleepFor(period);
     }
   }
 
@@ -92,6 +118,9 @@
           heartbeat.m_member.m_target.m_service = kStock;
           heartbeat.m_interests = {kStock};
           heartbeat.m_directory_origin = m_origin;
+          if (m_reports_documents) {
+            heartbeat.m_member.m_document = m_document_at_node;
+          }
           m_node_links.Send(*link, heartbeat);
         }
         SleepFor(period);
@@ -114,6 +143,9 @@
   Millis m_leader_since;
   int m_deltas = 0;
   int m_full_deltas = 0;
+  bool m_reports_documents = true;
+  DocumentVersion m_document_at_node;
+  int m_document_pushes = 0;
 };
 
 // Guards against a full delta from a leader that has heard of few nodes: the
@@ -135,5 +167,26 @@
             "c1-" + std::to_string(m_control.group().raft().m_hard.m_term));
 }
 
+constexpr int kChanges = 25;
+constexpr Millis kChangePeriod(100);
+
+// Guards against a leader whose memory grows with each change by a document for
+// each node that doesn't read.
+TEST_F(ControlServiceTest, ANodeThatReportsNoDocumentIsSentOneEachSecond) {
+  m_reports_documents = false;
+  const Millis started = SteadyNow();
+  m_loop.Spawn([&] { ChangeDocuments(kChanges, kChangePeriod); });
+  RunHeartbeats(Millis(50), kChangePeriod * (kChanges + 5));
+  EXPECT_GT(m_document_pushes, 1);
+  EXPECT_LE(m_document_pushes, 1 + (SteadyNow() - started) / Millis(1000));
+}
+
+TEST_F(ControlServiceTest, ANodeThatReportsItsDocumentsFollowsEachChange) {
+  m_loop.Spawn([&] { ChangeDocuments(kChanges, kChangePeriod); });
+  RunHeartbeats(Millis(10), kChangePeriod * (kChanges + 5));
+  EXPECT_EQ(m_document_at_node, DocumentVersion(kChanges));
+  EXPECT_GT(m_document_pushes, kChanges * 3 / 4);
+}
+
 }  // namespace
 }  // namespace hemlockpoint
