Take an answer with a status that HTTP doesn't have for none

Callers saw, on a similar system: a target in trouble answered with status 000, and the client got it as an answer. Here, a status below 100 was taken for an interim answer, so that a 200 that followed on the connection was passed on, and statuses from 600 to 999 were passed on as they were.

Cause: the reader of answers took each status below 200 but 101 for an interim one, and each other one for final.

Evidence: the new test with 099 and 600 (of its seven statuses) on the former reader: the 200 after a 099 and each 600 reached the client, through one node and through two. A 099 alone wasn't run there to its end, since it kept each call until after its deadline.

Change: such an answer ends the connection, and the outcome is unknown. So does one with too many interim answers, on whose connection the final one could come before the answer to the next request. GET, HEAD, health checks and the answers of control hosts go through the same reader; the test covers GET and HEAD.

The raw clients of the tests of cut answers move to a header.

--- a/src/hemlockpoint/http/client.cc
+++ b/src/hemlockpoint/http/client.cc
@@ -32,6 +32,8 @@
 // sends interim responses without end would otherwise keep the call busy until
 // its deadline.
 constexpr int kMaxHeadsPerResponse = 16;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
 // Servers that state no timeout commonly close an idle connection after 5 s or
 // more.
 constexpr Millis kDefaultKeepAliveTimeout(4000);
@@ -62,6 +64,11 @@
   return Max(Millis(seconds * 1000.0) - kKeepAliveMargin, Millis(0));
 }
 
+// Whether HTTP has the class of the status (RFC 9110, section 15).
+bool IsHttpStatus(unsigned status) {
+  return status >= 100 && status < 600;
+}
+
 // Whether the server has closed an idle connection or sent unexpected data.
 bool IsStale(Connection& connection) {
   char byte = 0;
@@ -219,29 +226,12 @@
     if (m_parser && m_parser->is_header_done() && !m_parser->keep_alive()) {
       return std::nullopt;
     }
-    int heads = 0;
-    do {
-      if (++heads > kMaxHeadsPerResponse) {
-        return std::nullopt;
-      }
-      m_parser.emplace();
-      m_parser->header_limit(kMaxHeaderBytes);
-      m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-      m_parser->skip(m_is_head_request);
-      const IoResult read = AwaitIo([this](auto handler) {
-        http::async_read_header(m_connection->m_socket, m_connection->m_buffer,
-                                *m_parser, std::move(handler));
-      });
-      if (read.m_error) {
-        return std::nullopt;
-      }
-    } while (IsInterim(m_parser->get().result_int()));
-    const auto& message = m_parser->get();
-    if (message.result() == http::status::switching_protocols) {
-      // No request asks for it, and what follows on the connection isn't HTTP.
+    if (!ReadFinalHead()) {
+      // What follows on the connection isn't the response to a later request.
       Cancel();
       return std::nullopt;
     }
+    const auto& message = m_parser->get();
     const auto keep_alive = message[http::field::keep_alive];
     m_connection->m_keep_alive_timeout =
         ParseKeepAliveTimeout({keep_alive.data(), keep_alive.size()});
@@ -285,9 +275,28 @@
   }
 
  private:
-  static bool IsInterim(unsigned status) {
-    constexpr unsigned kSwitchingProtocols = 101;
-    return status < 200 && status != kSwitchingProtocols;
+  // Reads heads up to that of a final response. Returns whether it is valid.
+  bool ReadFinalHead() {
+    for (int heads = 0; heads < kMaxHeadsPerResponse; ++heads) {
+      m_parser.emplace();
+      m_parser->header_limit(kMaxHeaderBytes);
+      m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+      m_parser->skip(m_is_head_request);
+      const IoResult read = AwaitIo([this](auto handler) {
+        http::async_read_header(m_connection->m_socket, m_connection->m_buffer,
+                                *m_parser, std::move(handler));
+      });
+      const unsigned status = m_parser->get().result_int();
+      // No request asks for another protocol.
+      if (read.m_error || !IsHttpStatus(status) ||
+          status == kSwitchingProtocols) {
+        return false;
+      }
+      if (status >= kFirstFinalStatus) {
+        return true;
+      }
+    }
+    return false;
   }
 
   std::shared_ptr<PoolState> m_pool;
--- a/src/hemlockpoint/http/client.h
+++ b/src/hemlockpoint/http/client.h
@@ -39,7 +39,8 @@
   /// @brief Reads the head of the next response; skips a few interim responses.
   /// The body of an earlier response must have been read to its end.
   /// @return The head, or nullopt if the connection failed, the head is invalid
-  /// or too long, or too many interim responses came before it.
+  /// or too long, its status is not from 200 to 599, or too many interim
+  /// responses came before it. The connection is closed then.
   [[nodiscard]] virtual std::optional<HttpResponseHead> ReadHead() = 0;
 
   /// @brief Reads more of the response's body.
--- a/test/platform/cut_answers_test.cc
+++ b/test/platform/cut_answers_test.cc
@@ -8,7 +8,7 @@
 #include <tuple>
 #include <vector>
 
-#include "platform/two_nodes.h"
+#include "platform/raw_clients.h"
 
 namespace hemlockpoint::platform {
 namespace {
@@ -45,84 +45,15 @@
     {"Head", "", "200 OK", "Content-Length: 11\r\n", "", false, "HEAD"},
 };
 
-enum class Close { kOrderly, kReset };
-
-void CloseSocket(tcp::socket& socket, Close close) {
-  boost::system::error_code ignored;
-  if (close == Close::kReset) {
-    socket.set_option(asio::socket_base::linger(true, 0), ignored);
-  }
-  socket.close(ignored);
-}
-
 std::string FinalHead(const AnswerCase& answer, const std::string& id) {
   return std::string("HTTP/1.1 ") + answer.m_status +
          "\r\nX-Request-Id: " + id + "\r\n" + answer.m_framing +
          "X-Server-Seal: s\r\n\r\n";
 }
 
-struct ClientView {
-  std::string m_response;
-  boost::system::error_code m_error;
-
-  [[nodiscard]] std::string Status() const {
-    return m_response.size() < 12 ? m_response : m_response.substr(9, 3);
-  }
-  [[nodiscard]] std::string Body() const {
-    const std::size_t at = m_response.find("\r\n\r\n");
-    return at == std::string::npos ? "" : m_response.substr(at + 4);
-  }
-  [[nodiscard]] bool Has(const std::string& text) const {
-    return m_response.find(text) != std::string::npos;
-  }
-};
-
-class CutAnswers : public TwoNodes {
+class CutAnswers : public RawClients {
  protected:
-  explicit CutAnswers(const char* address = "127.35.0.2") : TwoNodes(address) {
-    RouteDocument document = MakeDocument();
-    Route safe = document.m_routes.front();
-    safe.m_name = RouteName("s");
-    safe.m_path_prefix = "/s/";
-    safe.m_kind = WorkKind::kSafe;
-    document.m_routes.push_back(safe);
-    m_entry_context.m_route_table = MakeRouteTable(document);
-    m_target_context.m_route_table = MakeRouteTable(document);
-  }
-
-  // Sends the bytes of each client on a connection of its own, one after the
-  // other, and reads up to the end of the connection.
-  std::vector<ClientView> Fetch(const std::vector<std::string>& clients) {
-    std::vector<ClientView> views;
-    std::atomic<bool> is_done{false};
-    std::thread thread([&] {
-      asio::io_context io;
-      for (const std::string& bytes : clients) {
-        tcp::socket socket(io);
-        socket.connect({asio::ip::make_address(m_http_endpoint.m_address),
-                        m_http_endpoint.m_port});
-        Write(socket, bytes);
-        ClientView& view = views.emplace_back();
-        asio::read(socket, asio::dynamic_buffer(view.m_response), view.m_error);
-      }
-      is_done = true;
-    });
-    while (!is_done) {
-      SleepFor(Millis(5));
-    }
-    thread.join();
-    return views;
-  }
-
-  static std::string RequestBytes(const std::string& method,
-                                  const std::string& path,
-                                  const std::string& id,
-                                  const std::string& connection = "close",
-                                  const std::string& version = "1.1") {
-    return method + " " + path + id + " HTTP/" + version +
-           "\r\nHost: a\r\nX-Request-Id: " + id +
-           "\r\nConnection: " + connection + "\r\n\r\n";
-  }
+  CutAnswers() : RawClients("127.35.0.2") {}
 };
 
 struct Way {
