Don't complete an answer by the end of its connection during an upload

Callers saw, on a similar system: a target answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was being written, and the client got the part as a complete answer.

Cause: the end of the connection completed an answer without a length, whether or not the target had taken the request.

Change: such an answer is complete only if the whole request was written and the target's system has acknowledged it. This also replaces the memory of a reset that a write has seen. Answers that carry their length or a last chunk are complete by it, also if the upload wasn't taken.

A client can't find out that it was given a part, and can after a 502.

--- a/src/hemlockpoint/http/client.cc
+++ b/src/hemlockpoint/http/client.cc
@@ -1,5 +1,8 @@
 #include "hemlockpoint/http/client.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -210,11 +213,6 @@
                         std::move(handler));
     });
     m_is_request_sent = complete && !written.m_error;
-    // The system reports a reset once, here or to the reader, which otherwise
-    // sees an orderly end. After an orderly end the error is broken_pipe.
-    m_is_reset = m_is_reset || (written.m_error &&
-                                written.m_error != http::error::need_buffer &&
-                                written.m_error != asio::error::broken_pipe);
     return !written.m_error || written.m_error == http::error::need_buffer;
   }
 
@@ -262,7 +260,7 @@
       }
       chunk.resize(chunk.size() - m_parser->get().body().size);
     }
-    if (m_is_reset && m_parser->is_done() && m_parser->need_eof()) {
+    if (m_parser->is_done() && m_parser->need_eof() && !IsRequestTaken()) {
       return std::nullopt;
     }
     return chunk;
@@ -299,6 +297,16 @@
     return false;
   }
 
+  // Whether the server's system has received the whole request. A server that
+  // closes the connection earlier is about to reset it, and may have been cut
+  // off in the middle of its response.
+  bool IsRequestTaken() const {
+    int unacknowledged_bytes = 0;
+    const int result = ::ioctl(m_connection->m_socket.native_handle(), SIOCOUTQ,
+                               &unacknowledged_bytes);
+    return m_is_request_sent && (result != 0 || unacknowledged_bytes == 0);
+  }
+
   std::shared_ptr<PoolState> m_pool;
   std::unique_ptr<Connection> m_connection;
   http::request<http::buffer_body> m_request;
@@ -307,7 +315,6 @@
   bool m_is_reused;
   bool m_is_head_request = false;
   bool m_is_request_sent = false;
-  bool m_is_reset = false;
   bool m_cancelled = false;
 };
 
--- a/src/hemlockpoint/http/client.h
+++ b/src/hemlockpoint/http/client.h
@@ -45,7 +45,8 @@
 
   /// @brief Reads more of the response's body.
   /// @return The next bytes; empty at the end; nullopt if the response was
-  /// truncated.
+  /// truncated. One that ends with its connection counts as truncated if the
+  /// connection ended before the server had received the whole request.
   [[nodiscard]] virtual std::optional<std::string> ReadBody() = 0;
 
   /// @brief Closes the connection. Pending and later operations fail.
