Let the soak change documents fast beside stalled nodes

The soak waits 0.3 to 2.5 s after each change, so that none of its nodes lagged by 16 versions, and it didn't find the leader that such a node ended. Now and then it changes the document each 0.1 s for 3 s while half of the nodes stand still.

--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -61,6 +61,7 @@
         self.seen_marker = {}
         self.is_ending = False
         self.held_ports = 0
+        self.is_storm = False
         self.bursts = 0
         self.request_count = 0
         # Time and success of each request.
@@ -172,8 +173,8 @@
 
     async def put_document(self, body, base):
         """Sends a change, based on version `base`, until it gets a definite status, which is
-        returned; None when the run ends. A fifth of the responses is treated as lost, so
-        that accepted changes are sent again."""
+        returned; None when the run ends. Outside of storms a fifth of the responses is treated
+        as lost, so that accepted changes are sent again."""
         address = self.rng.choice(self.cluster.controls).operator_address
         pause = 0.1
         while not self.is_ending:
@@ -186,7 +187,7 @@
                 address = response.fields["location"].split("/")[2]
                 await asyncio.sleep(0.02)
                 continue
-            is_lost = self.rng.random() < 0.2
+            is_lost = not self.is_storm and self.rng.random() < 0.2
             if response is not None and response.status < 500 and not is_lost:
                 return response.status
             await asyncio.sleep(pause)
@@ -208,7 +209,7 @@
                     self.record_accepted(version)
                 elif status is not None:
                     self.add_finding("accepted once", f"version {version} on {base} got {status}")
-            await asyncio.sleep(self.rng.uniform(0.3, 2.5))
+            await surroundings.pause_changes(self, self.rng.uniform(0.3, 2.5))
 
     async def send_conflicting_changes(self, base, version, body):
         """Sends two changes with the same base, of which one must be accepted."""
@@ -333,7 +334,8 @@
                                   self.wipe_control, self.disturb_connections,
                                   self.disturb_connections, self.crash_target,
                                   self.disturb_target, self.kill_all_controls,
-                                  self.send_burst, self.send_burst))
+                                  self.send_burst, self.send_burst,
+                                  *2 * [lambda: surroundings.send_storm(self)]))
         self.last_unplanned_fault = time.monotonic()
         await action()
         self.last_unplanned_fault = time.monotonic()
--- a/soak/surroundings.py
+++ b/soak/surroundings.py
@@ -3,6 +3,7 @@
 import asyncio
 import resource
 import socket
+import time
 
 import http1
 
@@ -14,6 +15,8 @@
 SANITIZERS = (b"__asan_init", b"__tsan_init")
 EVENTS_OF_ENDS = ("event=crashed", "event=crash_frames", "event=start_failed")
 BURST_CONNECT_S = 2
+STORM_S = 3
+STORM_GAP_S = 0.1
 
 
 def can_be_limited(binary):
@@ -86,3 +89,27 @@
     await asyncio.sleep(seconds)
     for writer in filter(None, writers):
         writer.transport.abort()
+
+
+async def pause_changes(run, seconds):
+    """Waits until the next change of the document is due; a storm shortens the wait."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until and not run.is_storm:
+        await asyncio.sleep(0.05)
+    if run.is_storm:
+        await asyncio.sleep(STORM_GAP_S)
+
+
+async def send_storm(run):
+    """Lets the operator of a run change the document each 0.1 s while half of the nodes stand
+    still."""
+    half = run.cluster.nodes[run.rng.randint(0, 1)::2]
+    stalled = [node for node in half if node.is_alive() and not node.is_paused
+               and node.name not in run.stopped_at]
+    run.is_storm = True
+    for node in stalled:
+        node.pause()
+    await asyncio.sleep(STORM_S)
+    for node in stalled:
+        node.resume()
+    run.is_storm = False
