--- a/src/hemlockpoint/control/control_service_pushes.cc
+++ b/src/hemlockpoint/control/control_service_pushes.cc
@@ -116,9 +116,8 @@
   if (!(node.m_document_version < newest)) {
     return;
   }
-  // A difference to a version that is in transit to the node can't be made
-  // before the node reports it, and one to the version before would be of no
-  // use to the node once it has that one.
+  // The next difference has to be based on the version that is in transit, and
+  // the node may not have that one yet.
   const bool is_in_transit =
       node.m_document_version < node.m_last_sent_document;
   if (is_in_transit && now - node.m_document_sent_at < kPushResendInterval) {
