Keep the soak's marker routes through a storm

Cause: the soak checks a document by a marker route, which stays in the next 30 documents. A storm accepts as many within the time in which the newest one isn't required yet, so the route was gone by right. The nodes were right: the logs of two of them show versions that only rise, 12 and 13 documents up to 71.

Change: the routes stay in 200 documents, more than a run has, and the one being sent counts among them, so that more is checked than before.

--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -22,8 +22,8 @@
 SETTLE_S = 4.0
 # Time within which an accepted document must be in force at every node.
 APPLY_S = 2.0
-# Number of the newest documents whose marker routes stay in later documents.
-KEPT_MARKERS = 30
+# Number of the newest documents, with the one being sent, whose marker routes stay in later ones.
+KEPT_MARKERS = 200
 # Share of the restarts at which another program holds a port of the daemon.
 HELD_PORT_SHARE = 0.3
 # Requests of a burst, at least and at most. Nodes accept fewer.
@@ -255,7 +255,7 @@
         pid = node.process.pid
         seen = self.seen_marker.get(pid, 0)
         marker = max(required, seen)
-        if marker not in self.markers[-KEPT_MARKERS:]:
+        if marker not in self.markers[1 - KEPT_MARKERS:]:
             return
         was_settled = self.is_settled()
         request_id = f"p{self.rng.getrandbits(48):012x}"
