--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -88,15 +88,16 @@
 
 
 def free_block():
-    """Returns a /24 of loopback addresses in which no listener of ours exists."""
+    """Returns a /24 of loopback addresses at which all ports of the cases' machines are free."""
     number = os.getpid()
-    for attempt in range(200):
+    for attempt in range(60):
         prefix = f"127.{60 + (number // 250 + attempt) % 60}.{1 + number % 250}"
         try:
-            for port in (CONTROL_PORT, OUTBOUND_PORT, INTERNAL_PORTS[0]):
-                with socket.socket() as probe:
-                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                    probe.bind((f"{prefix}.1", port))
+            for host in (11, 12, 13, 21, 22):
+                for port in (CONTROL_PORT, OUTBOUND_PORT, READY_PORT, APP_PORT, *INTERNAL_PORTS):
+                    with socket.socket() as probe:
+                        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                        probe.bind((f"{prefix}.{host}", port))
             return prefix
         except OSError:
             continue
