Keep what a control host knows of the others in a plain struct

Whether a member leads, and its entry for the leader, are functions of its Raft state.

No behaviour changes: the code of the heartbeats, of their acknowledgements and of the leader that a host has heard of was moved, with the clock as an argument.

--- a/src/hemlockpoint/consensus/raft.cc
+++ b/src/hemlockpoint/consensus/raft.cc
@@ -230,6 +230,15 @@
   return !state.m_config.m_config.m_group_id.empty();
 }
 
+bool IsEstablishedLeader(const RaftState& state) {
+  return state.m_role == RaftRole::kLeader &&
+         state.m_commit >= state.m_term_start_index;
+}
+
+const GroupMember* FindLeader(const RaftState& state) {
+  return FindMemberByInstance(state.m_config.m_config, state.m_leader);
+}
+
 const GroupMember* FindMemberByInstance(const GroupConfig& config,
                                         const std::string& instance) {
   for (const GroupMember& member : config.m_members) {
--- a/src/hemlockpoint/consensus/raft.h
+++ b/src/hemlockpoint/consensus/raft.h
@@ -196,6 +196,14 @@
 /// @return Whether the member has the configuration of a group.
 [[nodiscard]] bool IsInGroup(const RaftState& state);
 
+/// @return Whether the member leads and has committed an entry of its term, so
+/// that it knows every entry committed before.
+[[nodiscard]] bool IsEstablishedLeader(const RaftState& state);
+
+/// @return The leader's entry in this member's configuration; null when no
+/// leader is known, or when this member lacks the entry that added it.
+[[nodiscard]] const GroupMember* FindLeader(const RaftState& state);
+
 /// @return The member with the given instance, or null.
 [[nodiscard]] const GroupMember* FindMemberByInstance(
     const GroupConfig& config,
--- a/src/hemlockpoint/control/control_service.cc
+++ b/src/hemlockpoint/control/control_service.cc
@@ -64,7 +64,8 @@
                   m_state,
                   std::move(parse_document),
                   [this] {
-                    const auto heard = m_reconciler.heard_leader();
+                    const auto heard =
+                        FindHeardLeader(m_reconciler.hosts(), SteadyNow());
                     return heard ? heard->m_admin : std::string();
                   }),
       m_reconciler(
@@ -86,17 +87,9 @@
 }
 
 HeartbeatAck ControlService::MakeAck(Millis now) const {
-  HeartbeatAck ack;
-  ack.m_is_leader = m_group.is_leader();
-  ack.m_quorum_ack_age = Min(QuorumAckAge(m_group.raft(), now), Millis(1e9));
+  HeartbeatAck ack =
+      MakeHeartbeatAck(m_reconciler.hosts(), m_group.raft(), now);
   ack.m_revision = m_state.m_policy.m_document.m_revision;
-  if (const GroupMember* leader = m_group.leader()) {
-    ack.m_leader = leader->m_peer;
-    ack.m_leader_admin = leader->m_admin;
-  } else if (const auto heard = m_reconciler.heard_leader()) {
-    ack.m_leader = heard->m_peer;
-    ack.m_leader_admin = heard->m_admin;
-  }
   return ack;
 }
 
--- a/src/hemlockpoint/control/group_reconciler.cc
+++ b/src/hemlockpoint/control/group_reconciler.cc
@@ -51,7 +51,7 @@
 }
 
 void GroupReconciler::SetSeeds(std::vector<Endpoint> seeds) {
-  hemlockpoint::SetSeeds(m_hosts, std::move(seeds), SteadyNow());
+  hemlockpoint::SetSeeds(m_hosts.m_hosts, std::move(seeds), SteadyNow());
 }
 
 HostHeartbeat GroupReconciler::MakeHostHeartbeat() const {
@@ -64,61 +64,25 @@
   return heartbeat;
 }
 
-// Without a known leader the heartbeat goes to every seed: asking them in turn
-// takes longer than the time in which a wiped host has to be replaced.
 void GroupReconciler::SendHostHeartbeat() {
-  if (m_group.is_leader()) {
-    return;
-  }
-  const GroupMember* leader = m_group.leader();
-  const Result<Endpoint> leader_endpoint =
-      ParseEndpoint(leader ? leader->m_peer : "");
-  std::vector<Endpoint> receivers;
-  if (leader_endpoint) {
-    receivers = {*leader_endpoint};
-  } else if (HasLeader(m_hosts, SteadyNow())) {
-    receivers = {m_hosts.m_current};
-  } else {
-    receivers = m_hosts.m_seeds;
-  }
-  for (const Endpoint& receiver : receivers) {
-    if (!(receiver == m_settings.m_peer)) {
-      m_links.SendTo(receiver, MakeHostHeartbeat());
-    }
+  for (const Endpoint& receiver : HostHeartbeatReceivers(
+           m_hosts, m_group.raft(), m_settings.m_peer, SteadyNow())) {
+    m_links.SendTo(receiver, MakeHostHeartbeat());
   }
 }
 
 void GroupReconciler::Handle(const HostHeartbeat& heartbeat) {
-  FollowLeadership();
-  if (m_group.is_leader()) {
-    m_heartbeats[heartbeat.m_instance] = {heartbeat, SteadyNow()};
-  }
+  RecordHostHeartbeat(m_hosts, m_group.raft(), heartbeat, SteadyNow());
 }
 
 void GroupReconciler::Handle(const HeartbeatAck& ack) {
-  const Millis now = SteadyNow();
-  const bool is_from_leader = HandleHeartbeatAck(m_hosts, ack, now);
-  const Result<Endpoint> leader = ParseEndpoint(ack.m_leader);
-  if (!leader || m_group.is_leader() || *leader == m_settings.m_peer) {
-    return;
-  }
-  m_hosts.m_current = *leader;
-  if (is_from_leader) {
-    m_heard_leader = {ack.m_leader, ack.m_leader_admin.value_or("")};
-  }
-  // Two hosts that disagree about the leader would name each other without end.
-  if (!is_from_leader && now - m_last_followed_at >= kHostHeartbeatPeriod) {
-    m_last_followed_at = now;
+  const auto leader = RecordHostHeartbeatAck(
+      m_hosts, m_group.raft(), m_settings.m_peer, ack, SteadyNow());
+  if (leader) {
     m_links.SendTo(*leader, MakeHostHeartbeat());
   }
 }
 
-std::optional<HeardLeader> GroupReconciler::heard_leader() const {
-  return HasLeader(m_hosts, SteadyNow())
-             ? std::optional<HeardLeader>(m_heard_leader)
-             : std::nullopt;
-}
-
 // Takes the seeds of the start, which the other hosts have, too. A reload may
 // replace those in the settings meanwhile.
 void GroupReconciler::FormGroup(const std::vector<Endpoint>& seeds) {
@@ -167,25 +131,16 @@
   }
 }
 
-// Called before each use of the heartbeats, because an election may end between
-// two ticks.
-void GroupReconciler::FollowLeadership() {
-  const bool is_leader = m_group.is_leader();
-  if (is_leader != m_was_leader) {
-    m_was_leader = is_leader;
-    m_heartbeats =
-        MakeInitialHeartbeats(m_group.raft().m_config.m_config, SteadyNow());
-  }
-}
-
 void GroupReconciler::ReconcileMembers() {
-  FollowLeadership();
+  const Millis now = SteadyNow();
+  FollowLeadership(m_hosts, m_group.raft(), now);
   if (!m_group.is_leader()) {
     return;
   }
-  const auto change = PlanGroupChange(
-      m_group.raft().m_config.m_config, m_heartbeats, m_group.raft().m_instance,
-      VoterCountFor(m_settings.m_tolerated_losses), SteadyNow());
+  const auto change =
+      PlanGroupChange(m_group.raft().m_config.m_config, m_hosts.m_heartbeats,
+                      m_group.raft().m_instance,
+                      VoterCountFor(m_settings.m_tolerated_losses), now);
   if (!change) {
     return;
   }
--- a/src/hemlockpoint/control/group_reconciler.h
+++ b/src/hemlockpoint/control/group_reconciler.h
@@ -10,17 +10,11 @@
 #include "hemlockpoint/config/settings.h"
 #include "hemlockpoint/control/group_planner.h"
 #include "hemlockpoint/control/group_tolerance.h"
+#include "hemlockpoint/control/host_table.h"
 #include "hemlockpoint/control/raft_driver.h"
-#include "hemlockpoint/membership/control_hosts.h"
 
 namespace hemlockpoint {
 
-/// @brief The endpoints of a leader, as its reply to a heartbeat states them.
-struct HeardLeader {
-  std::string m_peer;
-  std::string m_admin;
-};
-
 /// @brief Forms the control group from the seeds, and replaces lost members,
 /// without an operator.
 class GroupReconciler {
@@ -43,10 +37,8 @@
   /// @brief Handles the reply to this host's own heartbeat.
   void Handle(const HeartbeatAck& ack);
 
-  /// @return The leader that replied to this host's heartbeats last; nothing if
-  /// no majority has acknowledged it within kMaxQuorumAckAge. A host outside
-  /// the group knows the leader only from these replies.
-  [[nodiscard]] std::optional<HeardLeader> heard_leader() const;
+  /// @return What this host knows of the others.
+  [[nodiscard]] const HostTable& hosts() const { return m_hosts; }
 
   /// @brief Replaces the seeds at which this host looks for the leader.
   void SetSeeds(std::vector<Endpoint> seeds);
@@ -55,7 +47,6 @@
   HostHeartbeat MakeHostHeartbeat() const;
   void SendHostHeartbeat();
   void FormGroup(const std::vector<Endpoint>& seeds);
-  void FollowLeadership();
   void ReconcileMembers();
   void LogTolerance(Millis now);
 
@@ -64,12 +55,7 @@
   LinkManager& m_links;
   RaftDriver& m_group;
   std::function<std::optional<InstanceQuery>(const Endpoint&)> m_query_instance;
-  ControlHosts m_hosts;
-  HeardLeader m_heard_leader;
-  HostHeartbeats m_heartbeats;
-  /// Time at which a heartbeat was last sent because a reply named the leader.
-  Millis m_last_followed_at{-1e12};
-  bool m_was_leader = false;
+  HostTable m_hosts;
   Millis m_started_at;
   GroupTolerance m_logged_tolerance;
 };
--- a/src/hemlockpoint/control/raft_driver.cc
+++ b/src/hemlockpoint/control/raft_driver.cc
@@ -141,10 +141,6 @@
   });
 }
 
-const GroupMember* RaftDriver::leader() const {
-  return FindMemberByInstance(m_raft.m_config.m_config, m_raft.m_leader);
-}
-
 std::size_t RaftDriver::journal_bytes() const {
   return m_folder ? m_folder->journal_bytes() : 0;
 }
--- a/src/hemlockpoint/control/raft_driver.h
+++ b/src/hemlockpoint/control/raft_driver.h
@@ -67,13 +67,10 @@
 
   /// @return Whether this member is the leader and has committed an entry of
   /// its term, so that it knows every entry committed before.
-  [[nodiscard]] bool is_leader() const {
-    return m_raft.m_role == RaftRole::kLeader &&
-           m_raft.m_commit >= m_raft.m_term_start_index;
-  }
+  [[nodiscard]] bool is_leader() const { return IsEstablishedLeader(m_raft); }
   [[nodiscard]] const RaftState& raft() const { return m_raft; }
   /// @return The leader's member entry, or null when no leader is known.
-  [[nodiscard]] const GroupMember* leader() const;
+  [[nodiscard]] const GroupMember* leader() const { return FindLeader(m_raft); }
   /// @return Size of the journal; 0 before Start().
   [[nodiscard]] std::size_t journal_bytes() const;
 
