Answer requests for votes of members that this member doesn't know as voters

Cause: HandleRaftMessage ignored requests for votes of instances that aren't voters in the receiver's own configuration. A host that was away when the replacement of a lost disk became a voter knows it as a learner, or not at all, and ignored it; its own log is shorter, so it couldn't be elected, either. Whose vote counts is up to the candidate's configuration (Ongaro, 4.2.2).

With five hosts no narrow window is needed: a host that is away while two others are replaced is enough, on real processes.

Ruled out: a lost entry (the document is on both disks), replies without an address (they go back on the link of the request; the five-host test needs it), a slow election.

Change: a request for a vote is answered whoever sends it. While there is a leader it is ignored, and a pre-vote rejected, so that a removed member doesn't disturb the group (4.2.3). Votes of instances that aren't voters of the candidate are ignored as before. No test was changed: IgnoresMessagesFromOtherGroupsAndNonMembers holds by the new rule.

Failed before: Raft.AMemberVotesForACandidateThatItKnowsAsALearner, Raft.AMemberVotesForACandidateThatItDoesNotKnow, and of processes.control_group test_a_host_was_away_while_two_others_were_replaced (no document at any of five hosts within 15 s before, 16 s for the whole test after). ARemovedMemberDoesNotDisturbTheGroup and ACandidateCountsOnlyTheVotesOfItsVoters passed before, and guard what the old rule was for.

--- a/src/hemlockpoint/consensus/raft.cc
+++ b/src/hemlockpoint/consensus/raft.cc
@@ -12,6 +12,7 @@
 using internal::AppendEntry;
 using internal::BecomeFollower;
 using internal::HandleMessage;
+using internal::HasRecentLeader;
 using internal::IsVoter;
 using internal::ReplicateToAll;
 using internal::ResetElectionTimer;
@@ -29,6 +30,27 @@
          header.m_to_instance == state.m_instance;
 }
 
+// Whose vote counts is decided by the candidate's configuration. The receiver
+// of a request may lack the entries that made the candidate a voter (Ongaro's
+// dissertation, section 4.2.2). Instead, a request is ignored while there is a
+// leader, so that a removed member can't disturb the group (section 4.2.3).
+// Pre-votes are rejected then, but answered, since the answer tells a candidate
+// the term.
+bool IsIgnoredVote(const RaftState& state,
+                   const VoteRequest& request,
+                   Millis now) {
+  return !request.m_pre_vote && HasRecentLeader(state, now);
+}
+
+bool IsIgnoredVote(const RaftState& state, const VoteReply& reply, Millis) {
+  return !IsVoter(state, reply.m_header.m_from_instance);
+}
+
+template <typename Message>
+bool IsIgnoredVote(const RaftState&, const Message&, Millis) {
+  return false;
+}
+
 void TickLeader(RaftState& state,
                 double random,
                 Millis now,
@@ -107,9 +129,7 @@
         if (!is_joining && !IsAddressedToThisMember(state, header)) {
           return;
         }
-        const bool is_vote = std::is_same_v<Type, VoteRequest> ||
-                             std::is_same_v<Type, VoteReply>;
-        if (is_vote && !IsVoter(state, header.m_from_instance)) {
+        if (IsIgnoredVote(state, value, now)) {
           return;
         }
         if (is_joining) {
--- a/src/hemlockpoint/consensus/raft.h
+++ b/src/hemlockpoint/consensus/raft.h
@@ -154,8 +154,8 @@
 void TickRaft(RaftState& state, double random, Millis now, RaftOutput& output);
 
 /// @brief Handles a message from another member. Messages of another group and
-/// messages for another instance are ignored, and so are votes and vote
-/// requests from an instance that is not a voter.
+/// messages for another instance are ignored, and so are votes of an instance
+/// that is not a voter, and requests for a vote while there is a leader.
 void HandleRaftMessage(RaftState& state,
                        const RaftMessage& message,
                        double random,
--- a/src/hemlockpoint/consensus/raft_common.cc
+++ b/src/hemlockpoint/consensus/raft_common.cc
@@ -27,6 +27,11 @@
   return member != nullptr && member->m_is_voter;
 }
 
+bool HasRecentLeader(const RaftState& state, Millis now) {
+  return state.m_role == RaftRole::kLeader ||
+         now - state.m_leader_heard_at < kElectionTimeoutMin;
+}
+
 namespace {
 
 RaftHeader MakeRaftHeader(const RaftState& state, const GroupMember& to) {
--- a/src/hemlockpoint/consensus/raft_election.cc
+++ b/src/hemlockpoint/consensus/raft_election.cc
@@ -79,12 +79,6 @@
           request.m_last_index >= LastIndex(state.m_log));
 }
 
-// True also on the leader itself.
-bool HasRecentLeader(const RaftState& state, Millis now) {
-  return state.m_role == RaftRole::kLeader ||
-         now - state.m_leader_heard_at < kElectionTimeoutMin;
-}
-
 }  // namespace
 
 void HandleMessage(RaftState& state,
--- a/src/hemlockpoint/consensus/raft_internal.h
+++ b/src/hemlockpoint/consensus/raft_internal.h
@@ -13,6 +13,10 @@
 /// @return Whether an instance is a voting member of the group.
 bool IsVoter(const RaftState& state, const std::string& instance);
 
+/// @return Whether this member leads, or has heard from the leader within the
+/// shortest election timeout.
+bool HasRecentLeader(const RaftState& state, Millis now);
+
 /// @brief Addresses a message to a member and adds it to the output.
 void QueueMessage(const RaftState& state,
                   const std::string& instance,
--- a/test/hemlockpoint/consensus/raft_test.cc
+++ b/test/hemlockpoint/consensus/raft_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <functional>
+
 #include "hemlockpoint/wire/fields_codec.h"
 #include "support/raft_cluster.h"
 
@@ -205,6 +208,144 @@
   EXPECT_EQ(cluster.m_violation, "");
 }
 
+// Changes the members as the control group's leader does: removes an instance,
+// or adds one as a learner.
+void ProposeMembers(RaftCluster& cluster,
+                    const std::string& removed,
+                    const std::optional<GroupMember>& added) {
+  const std::string leader = cluster.Leader();
+  GroupConfig config = cluster.at(leader).m_raft.m_config.m_config;
+  auto& members = config.m_members;
+  members.erase(std::remove_if(members.begin(), members.end(),
+                               [&](const GroupMember& member) {
+                                 return member.m_instance == removed;
+                               }),
+                members.end());
+  if (added) {
+    members.push_back(*added);
+  }
+  ASSERT_TRUE(
+      cluster.ProposeAt(leader, LogEntryKind::kConfig, EncodeFields(config)));
+}
+
+// Replaces a wiped host's instance. `stop` runs when `lagging` has the entry
+// that adds the new one as a learner, and before it has the next entry.
+void ReplaceWipedHost(RaftCluster& cluster,
+                      int host,
+                      const std::string& lagging,
+                      const std::function<void()>& stop) {
+  const GroupMember learner = RaftCluster::MakeMember(host, 1, false);
+  cluster.Kill(RaftCluster::InstanceOf(host, 0));
+  cluster.AddEmptyMember(learner.m_instance);
+  ProposeMembers(cluster, RaftCluster::InstanceOf(host, 0), std::nullopt);
+  cluster.Run(Millis(1000));
+  ProposeMembers(cluster, "", learner);
+  const Millis end = cluster.now() + kSettleTime;
+  while (cluster.now() < end &&
+         FindMemberByInstance(cluster.at(lagging).m_raft.m_config.m_config,
+                              learner.m_instance) == nullptr) {
+    cluster.Run(Millis(10));
+  }
+  stop();
+  cluster.Run(kSettleTime);
+}
+
+// Guards against a group that never has a leader again because a member which
+// lacks the entry that made another one a voter ignores its requests for votes.
+TEST(Raft, AMemberVotesForACandidateThatItKnowsAsALearner) {
+  RaftCluster cluster(3, kSeed);
+  cluster.Run(kSettleTime);
+  const std::string leader = cluster.Leader();
+  const int wiped = leader == "h0.0" ? 1 : 0;
+  const std::string lagging = leader == "h2.0" ? "h1.0" : "h2.0";
+  const std::string replacement = RaftCluster::InstanceOf(wiped, 1);
+  ReplaceWipedHost(cluster, wiped, lagging, [&] {
+    cluster.CutLink(leader, lagging);
+    cluster.CutLink(replacement, lagging);
+  });
+  ASSERT_TRUE(
+      cluster.ProposeAt(leader, LogEntryKind::kPolicyChange, "x").has_value());
+  cluster.Run(Millis(500));
+  ASSERT_TRUE(HasApplied(cluster.at(replacement), "x"));
+  ASSERT_FALSE(FindMemberByInstance(
+                   cluster.at(lagging).m_raft.m_config.m_config, replacement)
+                   ->m_is_voter);
+  // The leader's disk is lost, too.
+  cluster.Kill(leader);
+  cluster.Heal();
+  cluster.Run(kSettleTime);
+  EXPECT_EQ(cluster.Leader(), replacement);
+  EXPECT_TRUE(HasApplied(cluster.at(lagging), "x"));
+  EXPECT_EQ(cluster.m_violation, "");
+}
+
+// Guards against the same where the member lacks all entries that name the
+// candidates: its votes have no address, and are sent back on their links.
+TEST(Raft, AMemberVotesForACandidateThatItDoesNotKnow) {
+  RaftCluster cluster(3, kSeed);
+  cluster.Run(kSettleTime);
+  const std::string member = cluster.Leader() == "h0.0" ? "h1.0" : "h0.0";
+  cluster.Isolate(member);
+  cluster.Run(kSettleTime);
+  RaftState& raft = cluster.at(member).m_raft;
+  VoteRequest request;
+  request.m_header = {"group", "stranger", member, raft.m_hard.m_term + 1};
+  request.m_last_index = LastIndex(raft.m_log) + 1;
+  request.m_last_term = raft.m_hard.m_term + 1;
+  for (const bool is_pre_vote : {true, false}) {
+    request.m_pre_vote = is_pre_vote;
+    RaftOutput output;
+    HandleRaftMessage(raft, request, 0, cluster.now(), output);
+    ASSERT_EQ(output.m_outgoing.size(), 1U);
+    EXPECT_EQ(output.m_outgoing.front().m_to.m_instance, "stranger");
+    EXPECT_TRUE(output.m_outgoing.front().m_to.m_peer.empty());
+    const auto* reply =
+        std::get_if<VoteReply>(&output.m_outgoing.front().m_message);
+    ASSERT_NE(reply, nullptr);
+    EXPECT_TRUE(reply->m_granted);
+  }
+  EXPECT_EQ(raft.m_hard.m_voted_for, "stranger");
+}
+
+// Guards against a member that was removed while it was away, and deposes the
+// leader whenever its election timer runs out.
+TEST(Raft, ARemovedMemberDoesNotDisturbTheGroup) {
+  RaftCluster cluster(4, kSeed);
+  cluster.Run(kSettleTime);
+  const std::string leader = cluster.Leader();
+  const std::string removed = leader == "h3.0" ? "h2.0" : "h3.0";
+  cluster.Isolate(removed);
+  ProposeMembers(cluster, removed, std::nullopt);
+  cluster.Run(kSettleTime);
+  const std::uint64_t term = cluster.at(leader).m_raft.m_hard.m_term;
+  cluster.Heal();
+  cluster.Run(Millis(20'000));
+  EXPECT_EQ(cluster.Leader(), leader);
+  EXPECT_EQ(cluster.at(leader).m_raft.m_hard.m_term, term);
+  EXPECT_EQ(cluster.m_violation, "");
+}
+
+// Guards against a candidate that counts the vote of a member which its
+// configuration doesn't list as a voter.
+TEST(Raft, ACandidateCountsOnlyTheVotesOfItsVoters) {
+  RaftCluster cluster(3, kSeed);
+  cluster.Run(kSettleTime);
+  const std::string candidate = cluster.Leader() == "h0.0" ? "h1.0" : "h0.0";
+  cluster.Isolate(candidate);
+  cluster.Run(kSettleTime);
+  RaftState& raft = cluster.at(candidate).m_raft;
+  ASSERT_EQ(raft.m_role, RaftRole::kPreCandidate);
+  for (const std::string voter : {"stranger", "h2.1"}) {
+    VoteReply reply;
+    reply.m_header = {"group", voter, candidate, raft.m_hard.m_term};
+    reply.m_pre_vote = true;
+    reply.m_granted = true;
+    RaftOutput output;
+    HandleRaftMessage(raft, reply, 0, cluster.now(), output);
+  }
+  EXPECT_EQ(raft.m_role, RaftRole::kPreCandidate);
+}
+
 TEST(Raft, LaggingMemberReceivesSnapshot) {
   RaftCluster cluster(3, kSeed);
   cluster.Run(kSettleTime);
--- a/test/processes/control_group_test.py
+++ b/test/processes/control_group_test.py
@@ -21,6 +21,8 @@
 # of another disk: shorter than the time without heartbeats after which a member
 # is replaced.
 SECOND_LOSS_S = 2.5
+# A host whose disk was lost counts as lost for this time after it is back.
+CATCH_UP_S = 6
 OPERATOR_PORT = 8306
 DOCUMENT_PATH = "/hemlockpoint/config"
 
@@ -38,7 +40,7 @@
 [control]
 seeds = [{seeds}]
 form_group = true
-losses_borne = 1
+losses_borne = {losses}
 data_folder = "{data}"
 """
 
@@ -75,7 +77,7 @@
 class ControlGroup:
     """Control hosts at `network`.1 and following, of which the first three are seeds."""
 
-    def __init__(self, binary, network, hosts):
+    def __init__(self, binary, network, hosts, losses=1):
         self.folder = tempfile.TemporaryDirectory(prefix="hemlockpoint-control-group-")
         self.addresses = [f"{network}.{i + 1}" for i in range(hosts)]
         self.daemons = []
@@ -83,7 +85,7 @@
         seeds = ", ".join(f'"{address}:7620"' for address in self.addresses[:3])
         for number, address in enumerate(self.addresses):
             settings = CONTROL_HOST.format(ip=address, number=number, seeds=seeds,
-                                           data=self.data_of(number))
+                                           losses=losses, data=self.data_of(number))
             self.daemons.append(Daemon(binary, settings, address))
 
     def data_of(self, number):
@@ -93,14 +95,30 @@
         for daemon in self.daemons:
             daemon.start()
 
-    def lose_disk_and_kill_all(self, number):
-        for daemon in self.daemons:
-            daemon.process.kill()
-        for daemon in self.daemons:
+    def kill(self, numbers):
+        for number in numbers:
+            self.daemons[number].process.kill()
+        for number in numbers:
+            daemon = self.daemons[number]
             daemon.process.wait()
             daemon.settings = daemon.settings.replace("form_group = true", "form_group = false")
+
+    def lose_disk_and_kill_all(self, number):
+        self.kill(range(len(self.daemons)))
         shutil.rmtree(self.data_of(number))
 
+    def lose_disks(self, numbers):
+        self.kill(numbers)
+        for number in numbers:
+            shutil.rmtree(self.data_of(number))
+
+    def leader(self):
+        """Returns the number of the host that has won the last election."""
+        terms = [max((int(term) for term in re.findall(r"event=leadership_won.* term=(\d+)",
+                                                       daemon.log())), default=0)
+                 for daemon in self.daemons]
+        return terms.index(max(terms))
+
     def change(self):
         """Commits a document. Returns whether it was acknowledged."""
         base, self.version = self.version, self.version + 1
@@ -149,8 +167,8 @@
 class ControlGroupTest(unittest.TestCase):
     binary = ""
 
-    def make_group(self, network, hosts):
-        group = ControlGroup(self.binary, network, hosts)
+    def make_group(self, network, hosts, losses=1):
+        group = ControlGroup(self.binary, network, hosts, losses)
         self.addCleanup(group.close)
         group.start()
         return group
@@ -177,6 +195,25 @@
         """The same where a host outside the group takes the place of the wiped one."""
         self.lose_two_disks("127.33.98", 4)
 
+    def test_a_host_was_away_while_two_others_were_replaced(self):
+        """Guards against a group that never answers again because a host ignores the requests
+        for votes of others that replaced lost ones while it was away, or can't reply to them."""
+        group = self.make_group("127.33.96", 5, losses=2)
+        self.assertTrue(group.change(), group.logs())
+        leader = group.leader()
+        away, first, second, other = [n for n in range(5) if n != leader]
+        group.kill([away])
+        for victim in (first, second):
+            group.lose_disks([victim])
+            group.daemons[victim].start()
+            time.sleep(CATCH_UP_S)
+        self.assertTrue(group.change(), group.logs())
+        group.lose_disks([leader, other])
+        for number in (leader, other, away):
+            group.daemons[number].start()
+        silent = group.await_document(group.addresses)
+        self.assertEqual(silent, set(), group.logs())
+
     def test_hosts_outside_the_group_name_the_leader(self):
         """Guards against a host that refuses each operator as long as it runs since it isn't a
         member of the group."""
