Let a learner forget a leader that is silent

What operators could see: a control host that was just added to the group reports to a leader that is gone for good, so the next leader never hears from it, and the group keeps too few members. Nobody has reported it; it was found on the paths beside the votes withheld from a new voter: the host follows a leader by a view that is out of date.

Cause: only a voter forgets its leader, when it starts an election. A learner runs no elections and kept the leader of its last message for ever. Heartbeats go to that leader as long as one is known.

Change: a member that isn't a voter forgets the leader when its election timeout runs out.

Failed before: Raft.ALearnerFollowsNoLeaderThatIsSilent.

--- a/src/hemlockpoint/consensus/raft.cc
+++ b/src/hemlockpoint/consensus/raft.cc
@@ -104,7 +104,12 @@
     TickLeader(state, random, now, output);
     return;
   }
-  if (now < state.m_election_deadline || !IsVoter(state, state.m_instance)) {
+  if (now < state.m_election_deadline) {
+    return;
+  }
+  if (!IsVoter(state, state.m_instance)) {
+    // A voter forgets a silent leader when it starts an election.
+    state.m_leader.clear();
     return;
   }
   ResetElectionTimer(state, random, now);
--- a/test/hemlockpoint/consensus/raft_test.cc
+++ b/test/hemlockpoint/consensus/raft_test.cc
@@ -307,6 +307,23 @@
   EXPECT_EQ(raft.m_hard.m_voted_for, "stranger");
 }
 
+// Guards against a learner that reports to a leader that is gone for good, and
+// so is never known to the next one.
+TEST(Raft, ALearnerFollowsNoLeaderThatIsSilent) {
+  RaftCluster cluster(1, kSeed);
+  cluster.Run(kSettleTime);
+  const GroupMember learner = RaftCluster::MakeMember(1, 0, false);
+  cluster.AddEmptyMember(learner.m_instance);
+  // The leader gets no replies, so the learner doesn't become a voter.
+  cluster.CutLink(learner.m_instance, "h0.0");
+  ProposeMembers(cluster, "", learner);
+  cluster.Run(Millis(1000));
+  ASSERT_EQ(cluster.at(learner.m_instance).m_raft.m_leader, "h0.0");
+  cluster.Kill("h0.0");
+  cluster.Run(Millis(2000));
+  EXPECT_EQ(cluster.at(learner.m_instance).m_raft.m_leader, "");
+}
+
 // Guards against a member that was removed while it was away, and deposes the
 // leader whenever its election timer runs out.
 TEST(Raft, ARemovedMemberDoesNotDisturbTheGroup) {
