Have the leader call hosts that it doesn't hear

What operators saw: control hosts that had lost their disks stayed outside the group for good and refused every operator, although the group served; it kept too few members, so that the next loss could stop it.

Cause: a host without data knows only the seeds. If all of them are outside the group, the hosts ask each other for the leader, and none knows it; the leader waits for heartbeats.

On real processes with six hosts, the three seeds and one more host gave no document within 15 s.

Ruled out: heartbeats that the leader ignores; the hosts sent it none.

Change: a leader sends the reply to a heartbeat unasked to each seed and member that it hasn't heard for two heartbeat periods. The reply states the age of the quorum acknowledgement, as always, so that a leader that was replaced misleads nobody. An older process takes it as a reply.

--- a/src/hemlockpoint/control/group_reconciler.cc
+++ b/src/hemlockpoint/control/group_reconciler.cc
@@ -36,7 +36,7 @@
 void GroupReconciler::Start() {
   m_started_at = SteadyNow();
   SetSeeds(m_settings.m_seeds);
-  m_loop.SpawnPeriodic(kHostHeartbeatPeriod, [this] { SendHostHeartbeat(); });
+  m_loop.SpawnPeriodic(kHostHeartbeatPeriod, [this] { SendHeartbeats(); });
   m_loop.SpawnPeriodic(kReconcilePeriod, [this] { ReconcileMembers(); });
   m_loop.SpawnPeriodic(kToleranceLogPeriod,
                        [this] { LogTolerance(SteadyNow()); });
@@ -64,11 +64,18 @@
   return heartbeat;
 }
 
-void GroupReconciler::SendHostHeartbeat() {
-  for (const Endpoint& receiver : HostHeartbeatReceivers(
-           m_hosts, m_group.raft(), m_settings.m_peer, SteadyNow())) {
+void GroupReconciler::SendHeartbeats() {
+  const Millis now = SteadyNow();
+  const RaftState& raft = m_group.raft();
+  FollowLeadership(m_hosts, raft, now);
+  for (const Endpoint& receiver :
+       HostHeartbeatReceivers(m_hosts, raft, m_settings.m_peer, now)) {
     m_links.SendTo(receiver, MakeHostHeartbeat());
   }
+  for (const Endpoint& receiver :
+       AnnouncementReceivers(m_hosts, raft, m_settings.m_peer, now)) {
+    m_links.SendTo(receiver, MakeHeartbeatAck(m_hosts, raft, now));
+  }
 }
 
 void GroupReconciler::Handle(const HostHeartbeat& heartbeat) {
--- a/src/hemlockpoint/control/group_reconciler.h
+++ b/src/hemlockpoint/control/group_reconciler.h
@@ -45,7 +45,7 @@
 
  private:
   HostHeartbeat MakeHostHeartbeat() const;
-  void SendHostHeartbeat();
+  void SendHeartbeats();
   void FormGroup(const std::vector<Endpoint>& seeds);
   void ReconcileMembers();
   void LogTolerance(Millis now);
--- a/src/hemlockpoint/control/host_table.cc
+++ b/src/hemlockpoint/control/host_table.cc
@@ -4,6 +4,34 @@
 
 namespace hemlockpoint {
 
+namespace {
+
+// The hosts that this host can ask for the leader, or tell that it leads.
+std::vector<Endpoint> OtherHosts(const HostTable& table,
+                                 const RaftState& raft,
+                                 const Endpoint& self) {
+  std::vector<Endpoint> hosts = KnownHosts(table.m_hosts);
+  for (const GroupMember& member : raft.m_config.m_config.m_members) {
+    const Result<Endpoint> peer = ParseEndpoint(member.m_peer);
+    if (peer && std::find(hosts.begin(), hosts.end(), *peer) == hosts.end()) {
+      hosts.push_back(*peer);
+    }
+  }
+  hosts.erase(std::remove(hosts.begin(), hosts.end(), self), hosts.end());
+  return hosts;
+}
+
+bool WasHeardSince(const HostTable& table, const Endpoint& peer, Millis time) {
+  const std::string text = ToText(peer);
+  return std::any_of(table.m_heartbeats.begin(), table.m_heartbeats.end(),
+                     [&](const auto& entry) {
+                       return entry.second.m_heartbeat.m_peer == text &&
+                              entry.second.m_received_at > time;
+                     });
+}
+
+}  // namespace
+
 void FollowLeadership(HostTable& table, const RaftState& raft, Millis now) {
   const bool is_leader = IsEstablishedLeader(raft);
   if (is_leader != table.m_was_leader) {
@@ -57,13 +85,32 @@
   const GroupMember* leader = FindLeader(raft);
   const Result<Endpoint> leader_endpoint =
       ParseEndpoint(leader ? leader->m_peer : "");
-  std::vector<Endpoint> receivers = table.m_hosts.m_seeds;
   if (leader_endpoint) {
-    receivers = {*leader_endpoint};
-  } else if (HasLeader(table.m_hosts, now)) {
-    receivers = {table.m_hosts.m_current};
+    return {*leader_endpoint};
+  }
+  const Endpoint& heard = table.m_hosts.m_current;
+  if (HasLeader(table.m_hosts, now) && !(heard == self)) {
+    return {heard};
+  }
+  std::vector<Endpoint> seeds = table.m_hosts.m_seeds;
+  seeds.erase(std::remove(seeds.begin(), seeds.end(), self), seeds.end());
+  return seeds;
+}
+
+std::vector<Endpoint> AnnouncementReceivers(const HostTable& table,
+                                            const RaftState& raft,
+                                            const Endpoint& self,
+                                            Millis now) {
+  if (!IsEstablishedLeader(raft)) {
+    return {};
   }
-  receivers.erase(std::remove(receivers.begin(), receivers.end(), self),
+  std::vector<Endpoint> receivers = OtherHosts(table, raft, self);
+  receivers.erase(std::remove_if(receivers.begin(), receivers.end(),
+                                 [&](const Endpoint& receiver) {
+                                   return WasHeardSince(
+                                       table, receiver,
+                                       now - kAnnouncementSilence);
+                                 }),
                   receivers.end());
   return receivers;
 }
--- a/src/hemlockpoint/control/host_table.h
+++ b/src/hemlockpoint/control/host_table.h
@@ -12,6 +12,10 @@
 
 namespace hemlockpoint {
 
+/// @brief Time without a heartbeat from a host after which the leader tells it
+/// that it leads: two heartbeat periods.
+inline constexpr Millis kAnnouncementSilence = kHostHeartbeatPeriod * 2;
+
 /// @brief The endpoints of a leader, as its reply to a heartbeat states them.
 struct HeardLeader {
   std::string m_peer;
@@ -60,13 +64,23 @@
     const Endpoint& self,
     Millis now);
 
+/// @return The hosts that this host, while it leads, has to tell so, because
+/// they have sent it no heartbeat lately: a host that has lost its disk knows
+/// only the seeds, and these may all be outside the group.
+[[nodiscard]] std::vector<Endpoint> AnnouncementReceivers(
+    const HostTable& table,
+    const RaftState& raft,
+    const Endpoint& self,
+    Millis now);
+
 /// @return The leader that replied to this host's heartbeats last; nothing if
 /// no majority has acknowledged it within kMaxQuorumAckAge. A host outside the
 /// group knows the leader only from these replies.
 [[nodiscard]] std::optional<HeardLeader> FindHeardLeader(const HostTable& table,
                                                          Millis now);
 
-/// @return The part of the reply to a heartbeat that tells who leads.
+/// @return The part of the reply to a heartbeat that tells who leads. A leader
+/// also sends it unasked, to those that AnnouncementReceivers() returns.
 [[nodiscard]] HeartbeatAck MakeHeartbeatAck(const HostTable& table,
                                             const RaftState& raft,
                                             Millis now);
--- a/src/hemlockpoint/membership/control_hosts.cc
+++ b/src/hemlockpoint/membership/control_hosts.cc
@@ -5,20 +5,6 @@
 
 namespace hemlockpoint {
 
-namespace {
-
-std::vector<Endpoint> AllHosts(const ControlHosts& hosts) {
-  std::vector<Endpoint> all = hosts.m_learned_hosts;
-  for (const Endpoint& seed : hosts.m_seeds) {
-    if (std::find(all.begin(), all.end(), seed) == all.end()) {
-      all.push_back(seed);
-    }
-  }
-  return all;
-}
-
-}  // namespace
-
 void SetSeeds(ControlHosts& hosts, std::vector<Endpoint> seeds, Millis now) {
   hosts.m_seeds = std::move(seeds);
   if (hosts.m_current.m_address.empty() && !hosts.m_seeds.empty()) {
@@ -27,13 +13,23 @@
   }
 }
 
+std::vector<Endpoint> KnownHosts(const ControlHosts& hosts) {
+  std::vector<Endpoint> known = hosts.m_learned_hosts;
+  for (const Endpoint& seed : hosts.m_seeds) {
+    if (std::find(known.begin(), known.end(), seed) == known.end()) {
+      known.push_back(seed);
+    }
+  }
+  return known;
+}
+
 bool IsCurrentHostSilent(const ControlHosts& hosts, Millis now) {
   return now - Max(hosts.m_last_quorum_ack, hosts.m_current_since) >
          kHostSilenceTimeout;
 }
 
 void SelectNextHost(ControlHosts& hosts, Millis now) {
-  const std::vector<Endpoint> all = AllHosts(hosts);
+  const std::vector<Endpoint> all = KnownHosts(hosts);
   hosts.m_current_since = now;
   if (all.empty()) {
     return;
--- a/src/hemlockpoint/membership/control_hosts.h
+++ b/src/hemlockpoint/membership/control_hosts.h
@@ -36,6 +36,9 @@
 /// if there is none yet.
 void SetSeeds(ControlHosts& hosts, std::vector<Endpoint> seeds, Millis now);
 
+/// @return The learned hosts, and the seeds that aren't among them.
+[[nodiscard]] std::vector<Endpoint> KnownHosts(const ControlHosts& hosts);
+
 /// @return Whether kHostSilenceTimeout has passed both since the current host
 /// was chosen and since a majority last acknowledged a leader.
 [[nodiscard]] bool IsCurrentHostSilent(const ControlHosts& hosts, Millis now);
--- a/test/processes/control_group_test.py
+++ b/test/processes/control_group_test.py
@@ -214,6 +214,21 @@
         silent = group.await_document(group.addresses)
         self.assertEqual(silent, set(), group.logs())
 
+    def test_all_seeds_are_outside_the_group(self):
+        """Guards against hosts that find no leader because they know only the seeds, and these
+        have lost their disks and places in the group."""
+        group = self.make_group("127.33.95", 6)
+        self.assertTrue(group.change(), group.logs())
+        seeds = range(3)
+        for seed in seeds:
+            group.kill([seed])
+            time.sleep(CATCH_UP_S)
+        group.lose_disks(seeds)
+        for seed in seeds:
+            group.daemons[seed].start()
+        silent = group.await_document(group.addresses)
+        self.assertEqual(silent, set(), group.logs())
+
     def test_hosts_outside_the_group_name_the_leader(self):
         """Guards against a host that refuses each operator as long as it runs since it isn't a
         member of the group."""
