Let hosts without a leader ask all hosts that they know

What operators could see: a control host outside the group finds no leader, and takes no lost member's place, once all seeds of its settings are gone.

Cause: a host without a leader asked the seeds only. It knew the members of its own configuration, if it had one, but replies to hosts didn't list the members, as replies to nodes do.

Evidence: seven hosts in virtual time, whose three seeds and then the leader are lost: the host that is outside the group isn't added.

Change: replies to hosts list the endpoints of the members, and a host without a leader asks these, the seeds and the members of its own configuration.

Failed before: HostTable.AHostFindsTheNextLeaderAlthoughAllSeedsAreGone and AHostWithoutALeaderAsksTheSeedsAndTheMembersThatItKnows.

--- a/src/hemlockpoint/control/control_service.cc
+++ b/src/hemlockpoint/control/control_service.cc
@@ -95,7 +95,8 @@
 
 void ControlService::Handle(LinkId link, const HostHeartbeat& heartbeat) {
   m_reconciler.Handle(heartbeat);
-  m_links.Send(link, MakeAck(SteadyNow()));
+  m_links.Send(link, MakeHostHeartbeatAck(m_reconciler.hosts(), m_group.raft(),
+                                          SteadyNow()));
 }
 
 void ControlService::Handle(const HeartbeatAck& ack) {
--- a/src/hemlockpoint/control/group_reconciler.cc
+++ b/src/hemlockpoint/control/group_reconciler.cc
@@ -74,7 +74,7 @@
   }
   for (const Endpoint& receiver :
        AnnouncementReceivers(m_hosts, raft, m_settings.m_peer, now)) {
-    m_links.SendTo(receiver, MakeHeartbeatAck(m_hosts, raft, now));
+    m_links.SendTo(receiver, MakeHostHeartbeatAck(m_hosts, raft, now));
   }
 }
 
--- a/src/hemlockpoint/control/host_table.cc
+++ b/src/hemlockpoint/control/host_table.cc
@@ -73,8 +73,8 @@
   return *leader;
 }
 
-// Without a known leader the heartbeat goes to every seed: asking them in turn
-// takes longer than the time in which a wiped host has to be replaced.
+// Without a known leader the heartbeat goes to every known host: asking them in
+// turn takes longer than the time in which a wiped host has to be replaced.
 std::vector<Endpoint> HostHeartbeatReceivers(const HostTable& table,
                                              const RaftState& raft,
                                              const Endpoint& self,
@@ -92,9 +92,7 @@
   if (HasLeader(table.m_hosts, now) && !(heard == self)) {
     return {heard};
   }
-  std::vector<Endpoint> seeds = table.m_hosts.m_seeds;
-  seeds.erase(std::remove(seeds.begin(), seeds.end(), self), seeds.end());
-  return seeds;
+  return OtherHosts(table, raft, self);
 }
 
 std::vector<Endpoint> AnnouncementReceivers(const HostTable& table,
@@ -137,4 +135,14 @@
   return ack;
 }
 
+HeartbeatAck MakeHostHeartbeatAck(const HostTable& table,
+                                  const RaftState& raft,
+                                  Millis now) {
+  HeartbeatAck ack = MakeHeartbeatAck(table, raft, now);
+  for (const GroupMember& member : raft.m_config.m_config.m_members) {
+    ack.m_hosts.push_back(member.m_peer);
+  }
+  return ack;
+}
+
 }  // namespace hemlockpoint
--- a/src/hemlockpoint/control/host_table.h
+++ b/src/hemlockpoint/control/host_table.h
@@ -79,12 +79,17 @@
 [[nodiscard]] std::optional<HeardLeader> FindHeardLeader(const HostTable& table,
                                                          Millis now);
 
-/// @return The part of the reply to a heartbeat that tells who leads. A leader
-/// also sends it unasked, to those that AnnouncementReceivers() returns.
+/// @return The part of the reply to a heartbeat that tells who leads.
 [[nodiscard]] HeartbeatAck MakeHeartbeatAck(const HostTable& table,
                                             const RaftState& raft,
                                             Millis now);
 
+/// @return The same for a control host, with the endpoints of all members. A
+/// leader also sends it unasked, to those that AnnouncementReceivers() returns.
+[[nodiscard]] HeartbeatAck MakeHostHeartbeatAck(const HostTable& table,
+                                                const RaftState& raft,
+                                                Millis now);
+
 }  // namespace hemlockpoint
 
 #endif  // HEMLOCKPOINT_CONTROL_HOST_TABLE_H_
--- a/test/hemlockpoint/control/host_table_test.cc
+++ b/test/hemlockpoint/control/host_table_test.cc
@@ -61,6 +61,18 @@
       HostHeartbeatReceivers(table, raft, HostAt(1), Millis(1500)).empty());
 }
 
+TEST(HostTable, AHostWithoutALeaderAsksTheSeedsAndTheMembersThatItKnows) {
+  RaftState raft = MakeLeader();
+  raft.m_role = RaftRole::kFollower;
+  raft.m_leader.clear();
+  HostTable table = MakeTable();
+  EXPECT_EQ(
+      HostHeartbeatReceivers(table, raft, HostAt(1), Millis(500)),
+      (std::vector<Endpoint>{HostAt(2), HostAt(3), HostAt(4), HostAt(5)}));
+  EXPECT_TRUE(
+      AnnouncementReceivers(table, raft, HostAt(1), Millis(500)).empty());
+}
+
 // Guards against hosts that never find the leader, and so take no lost member's
 // place, because all of their seeds are outside the group.
 TEST(HostTable, HostsFindTheLeaderAlthoughNoSeedIsAMember) {
@@ -87,5 +99,22 @@
   EXPECT_EQ(group.ToleratedLosses(), 1U);
 }
 
+// Guards against a host outside the group that finds no leader, and so takes no
+// lost member's place, because all of its seeds are gone.
+TEST(HostTable, AHostFindsTheNextLeaderAlthoughAllSeedsAreGone) {
+  constexpr HostNumber kOutside = 6;
+  SimulatedGroup group(7, 3, 1);
+  group.Run(Millis(3000));
+  for (HostNumber seed = 0; seed < 3; ++seed) {
+    group.Kill(seed);
+    group.Run(kRepairTime);
+  }
+  ASSERT_TRUE(group.Leader());
+  ASSERT_FALSE(IsInGroup(group.hosts()[kOutside].m_raft));
+  group.Kill(*group.Leader());
+  group.Run(kRepairTime);
+  EXPECT_TRUE(IsInGroup(group.hosts()[kOutside].m_raft));
+}
+
 }  // namespace
 }  // namespace hemlockpoint
--- a/test/support/simulated_group.cc
+++ b/test/support/simulated_group.cc
@@ -343,7 +343,7 @@
                  std::get_if<HostHeartbeat>(&message.m_payload)) {
     RecordHostHeartbeat(host.m_table, host.m_raft, *heartbeat, m_now);
     Send(message.m_to, message.m_from, message.m_from_process,
-         MakeHeartbeatAck(host.m_table, host.m_raft, m_now));
+         MakeHostHeartbeatAck(host.m_table, host.m_raft, m_now));
   } else {
     const auto leader = RecordHostHeartbeatAck(
         host.m_table, host.m_raft, host.m_peer,
@@ -381,7 +381,7 @@
            sender.m_table, sender.m_raft, sender.m_peer, m_now)) {
     if (const auto to = FindHost(receiver)) {
       Send(host, *to, std::nullopt,
-           MakeHeartbeatAck(sender.m_table, sender.m_raft, m_now));
+           MakeHostHeartbeatAck(sender.m_table, sender.m_raft, m_now));
     }
   }
 }
