Log why a control group has no leader

On the code before, the logs of a group that elects no leader show nothing: neither that an election failed, nor whether the other voters refuse a candidate or don't reply.

A member that knows no leader says so each 3 s, with its term, its last entry, and how many voters granted and refused its last request.

Test: Raft.ACandidateKnowsWhichVotersRefuseIt, of a field that is new.

--- a/src/hemlockpoint/consensus/raft.h
+++ b/src/hemlockpoint/consensus/raft.h
@@ -123,6 +123,8 @@
   Millis m_leader_heard_at{-1e12};
   /// Voters that granted this candidate's vote or pre-vote.
   std::set<std::string> m_granted_votes;
+  /// Voters that refused it. The others haven't replied.
+  std::set<std::string> m_refused_votes;
 
   /// Replication state by instance. This field and all below are used only
   /// while this member leads.
--- a/src/hemlockpoint/consensus/raft_election.cc
+++ b/src/hemlockpoint/consensus/raft_election.cc
@@ -27,6 +27,7 @@
   state.m_hard = {state.m_hard.m_term + 1, state.m_instance};
   WriteHardState(state, output);
   state.m_granted_votes = {state.m_instance};
+  state.m_refused_votes.clear();
   if (state.m_granted_votes.size() >= VoterMajoritySize(state)) {
     BecomeLeader(state, now, output);
     return;
@@ -42,6 +43,7 @@
   state.m_role = RaftRole::kPreCandidate;
   state.m_leader.clear();
   state.m_granted_votes = {state.m_instance};
+  state.m_refused_votes.clear();
   if (state.m_granted_votes.size() >= VoterMajoritySize(state)) {
     StartElection(state, now, output);
     return;
@@ -117,11 +119,14 @@
   const RaftRole expected_role =
       reply.m_pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
   const std::string& voter = reply.m_header.m_from_instance;
-  if (state.m_role != expected_role || !reply.m_granted ||
-      !IsVoter(state, voter) ||
+  if (state.m_role != expected_role || !IsVoter(state, voter) ||
       (!reply.m_pre_vote && reply.m_header.m_term != state.m_hard.m_term)) {
     return;
   }
+  if (!reply.m_granted) {
+    state.m_refused_votes.insert(voter);
+    return;
+  }
   state.m_granted_votes.insert(voter);
   if (state.m_granted_votes.size() < VoterMajoritySize(state)) {
     return;
--- a/src/hemlockpoint/control/group_reconciler.cc
+++ b/src/hemlockpoint/control/group_reconciler.cc
@@ -14,6 +14,8 @@
 constexpr Millis kLinkTimeout(400);
 constexpr Millis kCommitTimeout(2000);
 constexpr Millis kToleranceLogPeriod(100);
+// Longer than elections with split votes take.
+constexpr Millis kMissingLeaderLogPeriod(3000);
 constexpr Millis kReconcilePeriod(100);
 // After this time the group is formed of the seeds that have replied, provided
 // that they are a majority of the seeds.
@@ -35,11 +37,15 @@
 
 void GroupReconciler::Start() {
   m_started_at = SteadyNow();
+  m_leader_missing_since = m_started_at;
   SetSeeds(m_settings.m_seeds);
   m_loop.SpawnPeriodic(kHostHeartbeatPeriod, [this] { SendHeartbeats(); });
   m_loop.SpawnPeriodic(kReconcilePeriod, [this] { ReconcileMembers(); });
-  m_loop.SpawnPeriodic(kToleranceLogPeriod,
-                       [this] { LogTolerance(SteadyNow()); });
+  m_loop.SpawnPeriodic(kToleranceLogPeriod, [this] {
+    const Millis now = SteadyNow();
+    LogTolerance(now);
+    LogMissingLeader(now);
+  });
   // Only the host with the lowest endpoint forms the group, so that two hosts
   // can't form different groups.
   const auto lowest_seed =
@@ -185,4 +191,29 @@
       .With("required", static_cast<std::uint64_t>(required));
 }
 
+// The votes tell whether the other voters are silent, or refuse this one, which
+// lacks entries that they have.
+void GroupReconciler::LogMissingLeader(Millis now) {
+  const RaftState& raft = m_group.raft();
+  if (!IsInGroup(raft) || !raft.m_leader.empty()) {
+    m_leader_missing_since = now;
+  }
+  if (now - m_leader_missing_since < kMissingLeaderLogPeriod) {
+    return;
+  }
+  m_leader_missing_since = now;
+  const auto& members = raft.m_config.m_config.m_members;
+  const auto voters = std::count_if(
+      members.begin(), members.end(),
+      [](const GroupMember& member) { return member.m_is_voter; });
+  LogLine(LogLevel::kWarning, "group_without_leader")
+      .With("instance", raft.m_instance)
+      .With("term", raft.m_hard.m_term)
+      .With("last_term", LastTerm(raft.m_log))
+      .With("last_index", LastIndex(raft.m_log))
+      .With("voters", static_cast<std::uint64_t>(voters))
+      .With("granted", static_cast<std::uint64_t>(raft.m_granted_votes.size()))
+      .With("refused", static_cast<std::uint64_t>(raft.m_refused_votes.size()));
+}
+
 }  // namespace hemlockpoint
--- a/src/hemlockpoint/control/group_reconciler.h
+++ b/src/hemlockpoint/control/group_reconciler.h
@@ -49,6 +49,7 @@
   void FormGroup(const std::vector<Endpoint>& seeds);
   void ReconcileMembers();
   void LogTolerance(Millis now);
+  void LogMissingLeader(Millis now);
 
   const Settings& m_settings;
   FiberLoop& m_loop;
@@ -58,6 +59,8 @@
   HostTable m_hosts;
   Millis m_started_at;
   GroupTolerance m_logged_tolerance;
+  /// Since when no leader is known, or the time of the last log line about it.
+  Millis m_leader_missing_since;
 };
 
 }  // namespace hemlockpoint
--- a/test/hemlockpoint/consensus/raft_test.cc
+++ b/test/hemlockpoint/consensus/raft_test.cc
@@ -307,6 +307,29 @@
   EXPECT_EQ(raft.m_hard.m_voted_for, "stranger");
 }
 
+// Guards against logs that don't tell voters which refuse a candidate from
+// voters that are silent.
+TEST(Raft, ACandidateKnowsWhichVotersRefuseIt) {
+  RaftCluster cluster(3, kSeed);
+  cluster.Run(kSettleTime);
+  const std::string leader = cluster.Leader();
+  const std::string lagging = leader == "h0.0" ? "h1.0" : "h0.0";
+  const std::string other = leader == "h2.0" ? "h1.0" : "h2.0";
+  cluster.Isolate(lagging);
+  cluster.ProposeAt(leader, LogEntryKind::kPolicyChange, "x");
+  cluster.Run(Millis(500));
+  // The other member has the entry.
+  cluster.Kill(leader);
+  cluster.Heal();
+  const Millis end = cluster.now() + kSettleTime;
+  const RaftState& raft = cluster.at(lagging).m_raft;
+  while (cluster.now() < end && raft.m_refused_votes.empty()) {
+    cluster.Run(Millis(10));
+  }
+  EXPECT_EQ(raft.m_refused_votes, std::set<std::string>{other});
+  EXPECT_EQ(raft.m_granted_votes, std::set<std::string>{lagging});
+}
+
 // Guards against a learner that reports to a leader that is gone for good, and
 // so is never known to the next one.
 TEST(Raft, ALearnerFollowsNoLeaderThatIsSilent) {
