Share the simulated disk of the consensus tests

The simulated cluster, the simulated control group and the exploration applied the writes of a member to its disk each in its own way. One function does it now.

--- a/test/hemlockpoint/consensus/raft_exploration_test.cc
+++ b/test/hemlockpoint/consensus/raft_exploration_test.cc
@@ -12,6 +12,7 @@
 #include "hemlockpoint/base/digest.h"
 #include "hemlockpoint/consensus/raft.h"
 #include "hemlockpoint/wire/codec.h"
+#include "support/raft_disk.h"
 
 namespace hemlockpoint {
 namespace {
@@ -63,13 +64,7 @@
 
 void ProcessOutput(ModelState& state, int member, const RaftOutput& output) {
   for (const RaftWrite& write : output.m_writes) {
-    if (const auto* hard = std::get_if<HardState>(&write)) {
-      state.m_disk_hard[member] = *hard;
-    } else if (const auto* truncate = std::get_if<TruncateWrite>(&write)) {
-      TruncateFrom(state.m_disk_log[member], truncate->m_from);
-    } else if (const auto* entry = std::get_if<LogEntry>(&write)) {
-      state.m_disk_log[member].m_entries.push_back(*entry);
-    }
+    WriteToDisk(state.m_disk_hard[member], state.m_disk_log[member], write);
   }
   for (const RaftEnvelope& envelope : output.m_outgoing) {
     state.m_in_flight_messages.push_back(
--- a/test/support/raft_cluster.h
+++ b/test/support/raft_cluster.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "hemlockpoint/consensus/raft.h"
+#include "support/raft_disk.h"
 
 namespace hemlockpoint {
 
@@ -176,7 +177,7 @@
   void ProcessOutput(const std::string& instance, const RaftOutput& output) {
     SimMember& member = m_members[instance];
     for (const RaftWrite& write : output.m_writes) {
-      WriteToDisk(member, write);
+      WriteToDisk(member.m_disk_hard, member.m_disk_log, write);
     }
     for (const RaftEnvelope& envelope : output.m_outgoing) {
       Send(instance, envelope);
@@ -191,18 +192,6 @@
     }
   }
 
-  static void WriteToDisk(SimMember& member, const RaftWrite& write) {
-    if (const auto* hard = std::get_if<HardState>(&write)) {
-      member.m_disk_hard = *hard;
-    } else if (const auto* truncate = std::get_if<TruncateWrite>(&write)) {
-      TruncateFrom(member.m_disk_log, truncate->m_from);
-    } else if (const auto* entry = std::get_if<LogEntry>(&write)) {
-      member.m_disk_log.m_entries.push_back(*entry);
-    } else if (const auto* snapshot = std::get_if<RaftSnapshot>(&write)) {
-      InstallSnapshot(member.m_disk_log, *snapshot);
-    }
-  }
-
   void Send(const std::string& from, const RaftEnvelope& envelope) {
     const std::string to = envelope.m_to.m_instance;
     const int copies = Random() < m_duplicate_probability ? 2 : 1;
--- a/test/support/simulated_group.cc
+++ b/test/support/simulated_group.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "hemlockpoint/wire/fields_codec.h"
+#include "support/raft_disk.h"
 
 namespace hemlockpoint {
 
@@ -40,18 +41,6 @@
   return counted_voters - (voters / 2 + 1);
 }
 
-void WriteToDisk(SimHost& host, const RaftWrite& write) {
-  if (const auto* hard = std::get_if<HardState>(&write)) {
-    host.m_disk_hard = *hard;
-  } else if (const auto* truncate = std::get_if<TruncateWrite>(&write)) {
-    TruncateFrom(host.m_disk_log, truncate->m_from);
-  } else if (const auto* entry = std::get_if<LogEntry>(&write)) {
-    host.m_disk_log.m_entries.push_back(*entry);
-  } else if (const auto* snapshot = std::get_if<RaftSnapshot>(&write)) {
-    InstallSnapshot(host.m_disk_log, *snapshot);
-  }
-}
-
 }  // namespace
 
 SimulatedGroup::SimulatedGroup(std::size_t hosts,
@@ -406,7 +395,7 @@
 void SimulatedGroup::ProcessOutput(HostNumber host, const RaftOutput& output) {
   SimHost& sender = m_hosts[host];
   for (const RaftWrite& write : output.m_writes) {
-    WriteToDisk(sender, write);
+    WriteToDisk(sender.m_disk_hard, sender.m_disk_log, write);
     const auto* entry = std::get_if<LogEntry>(&write);
     if (entry != nullptr && entry->m_kind == LogEntryKind::kConfig) {
       m_config_changed_at = m_now;
