Wait until the group has five voters before hosts are lost in its test

The log shows it: "group_without_leader ... voters=3 granted=1 refused=0" right after the first change. The test now waits for five live voters; what it demands afterwards is unchanged.

--- a/test/processes/control_group_test.py
+++ b/test/processes/control_group_test.py
@@ -200,6 +200,8 @@
         for votes of others that replaced lost ones while it was away, or can't reply to them."""
         group = self.make_group("127.33.96", 5, losses=2)
         self.assertTrue(group.change(), group.logs())
+        # The group is formed of the three seeds, and grows.
+        self.assertTrue(group.await_event("group_tolerates_loss voters=5 live=5"), group.logs())
         leader = group.leader()
         away, first, second, other = [n for n in range(5) if n != leader]
         group.kill([away])
