Let a target wait for the client before it resets a long answer

In a run of the sanitized tests on a slow machine, two forms of LongAnswers.LookCompleteOnlyIfTheyAre failed: one client got a 502 and an orderly end instead of the beginning of the answer and a reset, and one didn't end within the time limit of the test.

Cause: the test. The target slept for 100 ms before it reset the connection, and took for granted that the node had passed on the first part by then. A reset discards what the node hasn't read yet, so on a slow machine the node has nothing to pass on and rightly answers with a 502. A client with HTTP/1.0 and keep-alive then keeps its connection and reads until the time limit.

Evidence: with a sleep of 0 ms in place of the 100 ms both failures appear at once and with the same output.

Change: the client tells when an answer begins to arrive, and the target resets only then. The checks are the same, and the one that the first part is passed on before the end no longer depends on time.

--- a/test/platform/cut_answers_test.cc
+++ b/test/platform/cut_answers_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <future>
 #include <sstream>
 #include <string>
 #include <tuple>
@@ -208,6 +210,8 @@
   EXPECT_TRUE(views[0].Has("body of q2")) << views[0].m_response;
 }
 
+constexpr std::chrono::seconds kFirstPartTimeout(10);
+
 struct LongAnswerCase {
   const char* m_version;
   const char* m_connection;
@@ -223,6 +227,7 @@
 // or contains their sizes.
 TEST_P(LongAnswers, LookCompleteOnlyIfTheyAre) {
   const LongAnswerCase& parameters = GetParam();
+  std::promise<void> first_part;
   std::vector<ClientView> views;
   Run(
       [&](tcp::socket& socket, const std::string& id) {
@@ -239,14 +244,16 @@
           Write(socket, head + chunk_size.str() + "\r\n" + kLongBody +
                             (parameters.m_is_cut ? "" : "\r\n0\r\n\r\n"));
         }
-        // The first part has been passed on by then.
-        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        // A reset before the first part is passed on gets a 502 instead.
+        EXPECT_EQ(first_part.get_future().wait_for(kFirstPartTimeout),
+                  std::future_status::ready);
         CloseSocket(socket,
                     parameters.m_is_cut ? Close::kReset : Close::kOrderly);
       },
       [&] {
         views = Fetch({RequestBytes("GET", "/a/", "q1", parameters.m_connection,
-                                    parameters.m_version)});
+                                    parameters.m_version)},
+                      m_http_endpoint, [&] { first_part.set_value(); });
       });
   const ClientView& view = views[0];
   const bool has_chunks = view.Has("chunked");
--- a/test/platform/raw_clients.h
+++ b/test/platform/raw_clients.h
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKPOINT_TEST_PLATFORM_RAW_CLIENTS_H_
 #define HEMLOCKPOINT_TEST_PLATFORM_RAW_CLIENTS_H_
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -56,9 +57,12 @@
   }
 
   // Sends the bytes of each client to a node on a connection of its own, one
-  // after the other, and reads up to the end of the connection.
-  static std::vector<ClientView> Fetch(const std::vector<std::string>& clients,
-                                       const Endpoint& node) {
+  // after the other, and reads up to the end of the connection. Calls
+  // `on_first_bytes` once an answer has begun to arrive.
+  static std::vector<ClientView> Fetch(
+      const std::vector<std::string>& clients,
+      const Endpoint& node,
+      const std::function<void()>& on_first_bytes = [] {}) {
     std::vector<ClientView> views;
     std::atomic<bool> is_done{false};
     std::thread thread([&] {
@@ -68,7 +72,13 @@
         socket.connect({asio::ip::make_address(node.m_address), node.m_port});
         Write(socket, bytes);
         ClientView& view = views.emplace_back();
-        asio::read(socket, asio::dynamic_buffer(view.m_response), view.m_error);
+        asio::read(socket, asio::dynamic_buffer(view.m_response),
+                   asio::transfer_at_least(1), view.m_error);
+        if (!view.m_error) {
+          on_first_bytes();
+          asio::read(socket, asio::dynamic_buffer(view.m_response),
+                     view.m_error);
+        }
       }
       is_done = true;
     });
