Read no request after a body that can't be read to its end

What callers saw: nobody reported it. Bytes inside a malformed chunked body could be run as a request that no client had sent as one.

Cause: the server reads the next request of a connection as soon as the body of the one before has been read or has failed. After a failure it went on at the byte that is no part of a valid body. The response to the malformed request closes the connection, but where it waits for the response to an earlier request, the inner request is read and served first.

Evidence: a request that takes 200 ms, an upload whose chunk size is 'GET /inner HTTP/1.1', and a blank line on one connection: the handler got /first, /upload and /inner. Ruled out: without the earlier request it got /upload only, also before.

Change: a request whose body can't be read to its end is the last one of its connection.

Test: HttpServer.WhatFollowsAMalformedBodyIsNoRequest failed before (paths '/first/upload/inner'); after it all 13 tests of http pass.

--- a/src/hemlockpoint/http/connection.cc
+++ b/src/hemlockpoint/http/connection.cc
@@ -148,6 +148,8 @@
     if (read.m_error && read.m_error != http::error::need_buffer) {
       m_body_too_large = read.m_error == http::error::body_limit;
       m_body_failed = true;
+      // What follows isn't the head of a request.
+      m_keep_alive = false;
       m_connection->m_changed.Notify();
       return std::nullopt;
     }
--- a/test/hemlockpoint/http/server_test.cc
+++ b/test/hemlockpoint/http/server_test.cc
@@ -370,6 +370,42 @@
   EXPECT_NE(response.find(" 200 "), std::string::npos) << response;
 }
 
+// Guards against the rest of a malformed body that is run as a request while
+// the response waits for an earlier one.
+TEST(HttpServer, WhatFollowsAMalformedBodyIsNoRequest) {
+  constexpr Millis kTimeToReadOn(200);
+  FiberLoop loop;
+  std::string paths;
+  HttpServer server(loop, HttpServerLimits(), [&](HttpExchange& exchange) {
+    paths += exchange.head().m_path;
+    auto bytes = exchange.ReadBody();
+    while (bytes && !bytes->empty()) {
+      bytes = exchange.ReadBody();
+    }
+    if (exchange.head().m_path == "/first") {
+      SleepFor(kTimeToReadOn);
+    }
+    HttpResponseHead head;
+    head.m_status = bytes ? 200 : 400;
+    (void)exchange.Respond(head, "");
+  });
+  ASSERT_FALSE(server.Listen(kServerEndpoint));
+  std::atomic<bool> is_done{false};
+  std::string responses;
+  std::thread client([&] {
+    responses = SendAndReceive(
+        "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+        "POST /upload HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+        "\r\nGET /inner HTTP/1.1\r\nHost: a\r\n\r\n");
+    is_done = true;
+  });
+  RunUntil(is_done, loop, server);
+  client.join();
+  EXPECT_EQ(paths, "/first/upload");
+  EXPECT_EQ(CountOccurrences(responses, "HTTP/1.1 "), 2U) << responses;
+  EXPECT_EQ(CountOccurrences(responses, "Connection: close"), 1U) << responses;
+}
+
 class EndlessChunkOfAClient : public ::testing::TestWithParam<const char*> {};
 
 // Guards against a client that makes the server buffer bytes which are no part
