End the wait for an upload at the deadline of its call

What callers saw: 24 clients that kept the last byte of 8 MB back, with a deadline of 3 s, had no answer after 30 s, and small uploads of others got 503 for as long as they stayed.

Cause: the entry read the whole body before it computed the deadline, and the reading had no end in time. In policy mode the reading did not use the deadline that it had.

Evidence: uploads in both framings, silent and slow, HTTP/1.0 and 1.1, alone and pipelined, with and without Expect, through one node and two, with a deadline of 300 ms: none answered within 8 s. Ruled out: the limits for heads and for idle connections, which don't apply to bodies.

Change: ReadBody() takes the time at which the wait ends. Reading on is given up without a cancellation on the socket, which would also end the writing of earlier responses of the connection; the connection closes after the bounded reading of what the client still sends. The bytes are free before the answer waits for its turn. Operators' requests have 10 s for their body.

--- a/src/hemlockpoint/http/connection.cc
+++ b/src/hemlockpoint/http/connection.cc
@@ -60,6 +60,12 @@
   return !m_is_closing;
 }
 
+bool HttpConnection::AwaitTurn(RequestIndex index, Millis until) {
+  (void)m_changed.WaitUntil(
+      until, [&] { return m_is_closing || m_next_response == index; });
+  return !m_is_closing && m_next_response == index;
+}
+
 void HttpConnection::EndTurn(RequestIndex index, bool is_reusable) {
   m_disconnect_callbacks.erase(index);
   if (!is_reusable && !m_is_closing) {
@@ -80,7 +86,8 @@
 
 ServerExchange::ServerExchange(std::shared_ptr<HttpConnection> connection,
                                const HttpServerLimits& limits)
-    : m_connection(std::move(connection)) {
+    : m_connection(std::move(connection)),
+      m_body_silence_timeout(limits.m_body_silence_timeout) {
   m_parser.header_limit(limits.m_header_bytes);
   m_parser.body_limit(limits.m_body_bytes);
   auto& buffer = m_connection->m_buffer;
@@ -127,38 +134,63 @@
     m_connection->Close();
   }
   const bool is_reusable = m_is_response_finished && m_keep_alive &&
-                           !m_body_failed && m_parser.is_done();
+                           m_body_error == BodyError::kNone &&
+                           m_parser.is_done();
   m_connection->EndTurn(m_request_index, is_reusable);
 }
 
-std::optional<std::string> ServerExchange::ReadBody() {
-  if (!SendContinue()) {
+std::optional<std::string> ServerExchange::ReadBody(Millis until) {
+  if (m_body_error != BodyError::kNone || !SendContinue(until)) {
     return std::nullopt;
   }
-  std::string bytes;
-  while (bytes.empty() && !m_parser.is_done()) {
-    bytes.resize(BodyBufferSize(m_parser.content_length_remaining()));
-    m_parser.get().body().data = bytes.data();
-    m_parser.get().body().size = bytes.size();
-    const IoResult read = AwaitIo([this](auto handler) {
-      http::async_read_some(m_connection->m_socket, m_connection->m_buffer,
-                            m_parser, std::move(handler));
-    });
+  m_body_part.clear();
+  while (m_body_part.empty() && !m_parser.is_done()) {
+    m_body_part.resize(BodyBufferSize(m_parser.content_length_remaining()));
+    m_parser.get().body().data = m_body_part.data();
+    m_parser.get().body().size = m_body_part.size();
+    m_body_read = std::make_shared<PendingIo>();
+    const auto read = AwaitIoUntil(
+        Min(until, SteadyNow() + m_body_silence_timeout), shared_from_this(),
+        [this](auto handler) {
+          http::async_read_some(m_connection->m_socket, m_connection->m_buffer,
+                                m_parser, std::move(handler));
+        },
+        m_body_read);
+    if (!read) {
+      return FailBody(BodyError::kTimedOut);
+    }
     // need_buffer: the buffer is full, which is not a failure.
-    if (read.m_error && read.m_error != http::error::need_buffer) {
-      m_body_too_large = read.m_error == http::error::body_limit;
-      m_body_failed = true;
-      // What follows isn't the head of a request.
-      m_keep_alive = false;
-      m_connection->m_changed.Notify();
-      return std::nullopt;
+    if (read->m_error && read->m_error != http::error::need_buffer) {
+      return FailBody(read->m_error == http::error::body_limit
+                          ? BodyError::kTooLarge
+                          : BodyError::kBroken);
     }
-    bytes.resize(bytes.size() - m_parser.get().body().size);
+    m_body_part.resize(m_body_part.size() - m_parser.get().body().size);
   }
   if (m_parser.is_done()) {
     m_connection->m_changed.Notify();
   }
-  return bytes;
+  return std::exchange(m_body_part, {});
+}
+
+std::nullopt_t ServerExchange::FailBody(BodyError error) {
+  if (m_body_error == BodyError::kNone) {
+    m_body_error = error;
+  }
+  // What follows isn't the head of a request.
+  m_keep_alive = false;
+  m_connection->m_changed.Notify();
+  return std::nullopt;
+}
+
+void ServerExchange::StopReadingBody() {
+  if (m_parser.is_done()) {
+    return;
+  }
+  (void)FailBody(BodyError::kStopped);
+  if (m_body_read) {
+    m_body_read->Abandon();
+  }
 }
 
 void ServerExchange::SetDisconnectCallback(std::function<void()> callback) {
@@ -231,21 +263,30 @@
   m_connection->Close();
 }
 
-bool ServerExchange::SendContinue() {
+bool ServerExchange::SendContinue(Millis until) {
   if (!m_expects_continue) {
     return true;
   }
   m_expects_continue = false;
-  if (!m_connection->AwaitTurn(m_request_index)) {
+  if (!m_connection->AwaitTurn(m_request_index, until)) {
+    (void)FailBody(m_connection->m_is_closing ? BodyError::kBroken
+                                              : BodyError::kTimedOut);
     return false;
   }
   static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-  const IoResult written = AwaitIo([this](auto handler) {
-    asio::async_write(m_connection->m_socket,
-                      asio::buffer(kContinue.data(), kContinue.size()),
-                      std::move(handler));
-  });
-  return !written.m_error;
+  const auto written =
+      AwaitIoUntil(until, shared_from_this(), [this](auto handler) {
+        asio::async_write(m_connection->m_socket,
+                          asio::buffer(kContinue.data(), kContinue.size()),
+                          std::move(handler));
+      });
+  if (!written || written->m_error) {
+    // A part may be written, which no response can follow.
+    m_connection->Close();
+    (void)FailBody(BodyError::kBroken);
+    return false;
+  }
+  return true;
 }
 
 bool ServerExchange::PrepareResponse(const HttpResponseHead& head) {
--- a/src/hemlockpoint/http/connection.h
+++ b/src/hemlockpoint/http/connection.h
@@ -12,6 +12,7 @@
 
 #include "hemlockpoint/http/message_parser.h"
 #include "hemlockpoint/http/server.h"
+#include "hemlockpoint/runtime/await.h"
 #include "hemlockpoint/runtime/fiber_event.h"
 
 namespace hemlockpoint::internal {
@@ -46,6 +47,9 @@
   /// @return Whether the response to this request may be written.
   [[nodiscard]] bool AwaitTurn(RequestIndex index);
 
+  /// @brief As above, but waits until `until` at most.
+  [[nodiscard]] bool AwaitTurn(RequestIndex index, Millis until);
+
   /// @brief Lets the next request write its response.
   /// @param is_reusable Whether the connection can carry another response.
   void EndTurn(RequestIndex index, bool is_reusable);
@@ -87,7 +91,8 @@
 };
 
 /// @brief One request on a server connection, and its response.
-class ServerExchange : public HttpExchange {
+class ServerExchange : public HttpExchange,
+                       public std::enable_shared_from_this<ServerExchange> {
  public:
   ServerExchange(std::shared_ptr<HttpConnection> connection,
                  const HttpServerLimits& limits);
@@ -104,10 +109,9 @@
   void Finish();
 
   [[nodiscard]] const HttpRequestHead& head() const override { return m_head; }
-  [[nodiscard]] std::optional<std::string> ReadBody() override;
-  [[nodiscard]] bool body_too_large() const override {
-    return m_body_too_large;
-  }
+  [[nodiscard]] std::optional<std::string> ReadBody(Millis until) override;
+  [[nodiscard]] BodyError body_error() const override { return m_body_error; }
+  void StopReadingBody() override;
   void SetDisconnectCallback(std::function<void()> callback) override;
   [[nodiscard]] bool IsClientConnected() override;
   bool Respond(const HttpResponseHead& head, std::string_view body) override;
@@ -119,14 +123,17 @@
   /// @return Whether reading this request has ended, so that the head of the
   /// next one can be read.
   [[nodiscard]] bool is_request_read() const {
-    return m_parser.is_done() || m_has_handler_returned || m_body_failed;
+    return m_parser.is_done() || m_has_handler_returned ||
+           m_body_error != BodyError::kNone;
   }
   /// @return Whether another request may follow on the connection.
   [[nodiscard]] bool is_keep_alive() const { return m_keep_alive; }
 
  private:
   /// @brief Sends the interim response 100 if the client expects it.
-  bool SendContinue();
+  bool SendContinue(Millis until);
+  /// @brief Gives up reading the body, unless that has been done.
+  std::nullopt_t FailBody(BodyError error);
   /// @brief Waits for the request's turn and sets the head of its response, but
   /// writes nothing.
   bool PrepareResponse(const HttpResponseHead& head);
@@ -149,8 +156,11 @@
   bool m_accepts_chunks = true;
   bool m_keep_alive = false;
   bool m_expects_continue = false;
-  bool m_body_too_large = false;
-  bool m_body_failed = false;
+  BodyError m_body_error = BodyError::kNone;
+  Millis m_body_silence_timeout;
+  /// Filled by the read in progress.
+  std::string m_body_part;
+  std::shared_ptr<PendingIo> m_body_read;
   bool m_is_response_finished = false;
   bool m_has_handler_returned = false;
 };
--- a/src/hemlockpoint/http/server.h
+++ b/src/hemlockpoint/http/server.h
@@ -23,6 +23,9 @@
   std::size_t m_connections = 4096;
   /// Time in which a client must send a request's head once it has begun.
   Millis m_head_timeout{10'000};
+  /// Longest time in which a client may send nothing of a body that it has
+  /// begun to send.
+  Millis m_body_silence_timeout{10'000};
   /// Time after which an idle connection is closed; 0 for never.
   Millis m_idle_timeout;
   /// Kinds of work as which connections and requests count where the memory
@@ -31,6 +34,19 @@
   FiberWork m_request_work = FiberWork::kRequest;
 };
 
+/// @brief Why the body of a request could not be read to its end.
+enum class BodyError : unsigned char {
+  kNone,
+  /// The connection failed, or the framing is invalid.
+  kBroken,
+  /// The body exceeds the limit.
+  kTooLarge,
+  /// The client took too long, or was silent for too long.
+  kTimedOut,
+  /// StopReadingBody() was called.
+  kStopped,
+};
+
 /// @brief One request and its response, used by the request's fiber. Responses
 /// are written in the order of the requests, so writing one waits for all
 /// earlier ones on the connection.
@@ -41,12 +57,17 @@
   [[nodiscard]] virtual const HttpRequestHead& head() const = 0;
 
   /// @brief Reads more of the request's body.
-  /// @return The next bytes; empty at the end; nullopt if the connection
-  /// failed, the framing is invalid or the body exceeds the limit.
-  [[nodiscard]] virtual std::optional<std::string> ReadBody() = 0;
+  /// @param until Time as of SteadyNow() at which the wait for the client ends.
+  /// @return The next bytes; empty at the end; nullopt if the body can't be
+  /// read to its end. The connection then closes after the response.
+  [[nodiscard]] virtual std::optional<std::string> ReadBody(Millis until) = 0;
+
+  /// @return Why ReadBody() failed.
+  [[nodiscard]] virtual BodyError body_error() const = 0;
 
-  /// @return Whether ReadBody() failed because the body exceeds the limit.
-  [[nodiscard]] virtual bool body_too_large() const = 0;
+  /// @brief Ends a ReadBody() that another fiber waits in, and lets later ones
+  /// fail. Has no effect once the whole body was read.
+  virtual void StopReadingBody() = 0;
 
   /// @brief Sets a function that is called once if the client disconnects
   /// before the response is finished; it is called at once if the client
--- a/src/hemlockpoint/node/admin_service.cc
+++ b/src/hemlockpoint/node/admin_service.cc
@@ -9,7 +9,10 @@
 namespace {
 
 constexpr unsigned kNotFound = 404;
+constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kContentTooLarge = 413;
+// Time in which the whole body must arrive.
+constexpr Millis kBodyTimeout(10'000);
 
 int HexValue(char c) {
   if (c >= '0' && c <= '9') {
@@ -39,9 +42,10 @@
 }
 
 std::optional<std::string> ReadWholeBody(HttpExchange& exchange) {
+  const Millis until = SteadyNow() + kBodyTimeout;
   std::string body;
   while (true) {
-    const auto bytes = exchange.ReadBody();
+    const auto bytes = exchange.ReadBody(until);
     if (!bytes || body.size() + bytes->size() > AdminService::kMaxBodyBytes) {
       return std::nullopt;
     }
@@ -72,7 +76,9 @@
   AdminResponse response;
   auto body = ReadWholeBody(exchange);
   const auto handler = m_handlers.find(request.m_method + " " + request.m_path);
-  if (!body) {
+  if (!body && exchange.body_error() == BodyError::kTimedOut) {
+    response = MakeErrorResponse(kRequestTimeout, "body incomplete");
+  } else if (!body) {
     response = MakeErrorResponse(
         kContentTooLarge,
         "body incomplete, or larger than " +
--- a/src/hemlockpoint/node/entry_attempts.cc
+++ b/src/hemlockpoint/node/entry_attempts.cc
@@ -247,13 +247,17 @@
     progress.m_outbound.m_sender->Cancel("the caller is gone");
     return MakeUnknownOutcome(Reason::kCancelled, {"caller_gone", 1, 0});
   }
-  if (progress.m_exchange.body_too_large()) {
+  if (progress.m_exchange.body_error() == BodyError::kTooLarge) {
     progress.m_outbound.m_sender->Cancel("the body is too large");
     const auto max_body_bytes =
         static_cast<double>(m_context.m_settings.m_limits.m_body_bytes);
     return MakeUnknownOutcome(Reason::kBodyTooLarge,
                               {"body_bytes", max_body_bytes, max_body_bytes});
   }
+  if (progress.m_exchange.body_error() == BodyError::kTimedOut) {
+    progress.m_outbound.m_sender->Cancel("the body is incomplete");
+    return MakeUnknownOutcome(Reason::kBodyTimeout, {"body_silent", 1, 0});
+  }
   if (state.m_is_target_lost) {
     return MakeUnknownOutcome(Reason::kNodeLost, {"link_lost", 1, 0});
   }
@@ -273,9 +277,10 @@
   m_context.m_loop.Spawn([&progress] {
     bool has_more = true;
     while (has_more) {
-      auto bytes = progress.m_exchange.ReadBody();
+      auto bytes = progress.m_exchange.ReadBody(progress.m_call.m_deadline);
       if (!bytes) {
-        progress.m_caller_gone = !progress.m_exchange.body_too_large();
+        progress.m_caller_gone =
+            progress.m_exchange.body_error() == BodyError::kBroken;
         progress.m_outbound.m_state->Cancel();
         break;
       }
@@ -289,14 +294,14 @@
   });
 }
 
-// Closes the credit and aborts the exchange, because the streaming fiber may
-// be waiting for a caller that sends slowly or not at all.
+// The streaming fiber may be waiting for credit, or for a caller that sends
+// slowly or not at all.
 void EntryService::StopBodyStreaming(Progress& progress) {
   if (!progress.m_is_streaming_body) {
     return;
   }
   progress.m_outbound.m_state->m_request_credit.Close();
-  progress.m_exchange.Abort();
+  progress.m_exchange.StopReadingBody();
   progress.m_body_streaming_ended.Wait(
       [&progress] { return !progress.m_is_streaming_body; });
 }
@@ -313,7 +318,8 @@
   } else if (refusal) {
     const bool is_unreachable = refusal->m_reason == Reason::kTargetUnreachable;
     const bool is_failed = refusal->m_execution == Execution::kUnknown &&
-                           refusal->m_reason != Reason::kBodyTooLarge;
+                           refusal->m_reason != Reason::kBodyTooLarge &&
+                           refusal->m_reason != Reason::kBodyTimeout;
     end = is_unreachable || is_failed ? SendOutcome::kFailed
                                       : SendOutcome::kRefused;
   }
--- a/src/hemlockpoint/node/entry_service.cc
+++ b/src/hemlockpoint/node/entry_service.cc
@@ -16,6 +16,17 @@
 constexpr Millis kMinRetryAfter(50);
 constexpr const char* kParentCallSignal = "parent_call";
 
+Reason ReasonOf(BodyError error) {
+  switch (error) {
+    case BodyError::kTooLarge:
+      return Reason::kBodyTooLarge;
+    case BodyError::kTimedOut:
+      return Reason::kBodyTimeout;
+    default:
+      return Reason::kMalformedRequest;
+  }
+}
+
 }  // namespace
 
 EntryService::EntryService(
@@ -69,11 +80,18 @@
   if (!m_context.m_is_policy_known) {
     return MakeSignalRefusal(Reason::kPolicyUnknown, {"policy_revision", 0, 1});
   }
-  const auto first = progress.m_exchange.ReadBody();
+  const Millis time_left =
+      Min(call.m_request.m_time_left.value_or(limits.m_default_deadline),
+          limits.m_max_deadline);
+  call.m_deadline = call.m_arrived + time_left;
+  const auto parent = m_context.m_running_calls.find(call.m_request.m_parent);
+  if (parent != m_context.m_running_calls.end()) {
+    call.m_deadline = Min(call.m_deadline, parent->second.m_deadline);
+  }
+  const auto first = progress.m_exchange.ReadBody(call.m_deadline);
   if (!first) {
-    const bool too_large = progress.m_exchange.body_too_large();
     return MakeSignalRefusal(
-        too_large ? Reason::kBodyTooLarge : Reason::kMalformedRequest,
+        ReasonOf(progress.m_exchange.body_error()),
         {"body_bytes", 0, static_cast<double>(limits.m_body_bytes)});
   }
   progress.m_body = *first;
@@ -84,10 +102,6 @@
   }
   call.m_policy = m_context.m_entry.m_policy;
   call.m_is_root = call.m_request.m_parent.empty();
-  const Millis time_left =
-      Min(call.m_request.m_time_left.value_or(limits.m_default_deadline),
-          limits.m_max_deadline);
-  call.m_deadline = call.m_arrived + time_left;
   const ServiceName& service = call.m_request.m_service;
   call.m_kind = KindOf(service, call.m_request.m_method, call.m_request.m_path);
   call.m_fingerprint = ComputeDigest({service.value(), call.m_request.m_method,
@@ -133,7 +147,6 @@
   call.m_caller = parent.m_caller;
   call.m_class = parent.m_class;
   call.m_depth = parent.m_depth + 1;
-  call.m_deadline = Min(call.m_deadline, parent.m_deadline);
   m_dispatcher.RecordChildKind(parent.m_kind, call.m_kind);
   return std::nullopt;
 }
--- a/src/hemlockpoint/outcome/refusal.cc
+++ b/src/hemlockpoint/outcome/refusal.cc
@@ -15,6 +15,7 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kForbidden = 403;
 constexpr unsigned kNotFound = 404;
+constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kConflict = 409;
 constexpr unsigned kContentTooLarge = 413;
 constexpr unsigned kUnprocessable = 422;
@@ -56,6 +57,7 @@
     {"no_route", kNotFound},
     {"target_refused", kUnavailable},
     {"answer_broken", kBadGateway},
+    {"body_timeout", kRequestTimeout},
 }};
 
 }  // namespace
--- a/src/hemlockpoint/outcome/refusal.h
+++ b/src/hemlockpoint/outcome/refusal.h
@@ -65,10 +65,13 @@
   kTargetRefused,
   /// The target's response was incomplete or malformed.
   kAnswerBroken,
+  /// The caller had not sent the whole body by the deadline, or was silent for
+  /// too long.
+  kBodyTimeout,
 };
 
 inline constexpr std::size_t kReasonCount =
-    static_cast<std::size_t>(Reason::kAnswerBroken) + 1;
+    static_cast<std::size_t>(Reason::kBodyTimeout) + 1;
 
 /// @brief The policy rule that caused an operator's decision.
 struct RuleReference {
--- a/src/hemlockpoint/relay/request_router.cc
+++ b/src/hemlockpoint/relay/request_router.cc
@@ -54,6 +54,8 @@
     m_dispatcher.RecordNestedFailure(call->m_metadata.m_parent);
   }
   m_context.m_body_bytes -= call->m_body.size();
+  // The response may have to wait for earlier ones.
+  std::string().swap(call->m_body);
   if (refusal && !call->m_has_caller_left) {
     Reject(*call, std::move(*refusal), exchange);
   }
@@ -69,8 +71,15 @@
   const HttpRequestHead& head = exchange.head();
   call.m_metadata = m_context.m_adapter.m_read_request_metadata(head);
   call.m_nested = !call.m_metadata.m_parent.empty();
-  if (auto refusal = ReadWholeBody(call, exchange)) {
-    return refusal;
+  if (head.m_content_length != 0U) {
+    const Route* route = m_context.m_route_table
+                             ? FindRoute(*m_context.m_route_table,
+                                         call.m_metadata.m_host, head.m_path)
+                             : nullptr;
+    const Millis deadline = FindDeadline(call, route);
+    if (auto refusal = ReadWholeBody(call, exchange, deadline)) {
+      return refusal;
+    }
   }
   if (call.m_has_caller_left) {
     return std::nullopt;
@@ -92,17 +101,11 @@
   const Route& route = *call.m_route;
   call.m_service =
       ChooseService(route, HashToUnitInterval(call.m_metadata.m_id));
-  const CallerLimits& limits = m_context.m_settings.m_limits;
-  Millis time_left =
-      Min(call.m_metadata.m_time_left.value_or(limits.m_default_deadline),
-          limits.m_max_deadline);
-  if (route.m_timeout > Millis(0)) {
-    time_left = Min(time_left, route.m_timeout);
-  }
-  call.m_deadline = call.m_arrival + time_left;
-  call.m_objective =
-      call.m_arrival +
-      (route.m_objective > Millis(0) ? route.m_objective : time_left);
+  // The document may have changed since the head arrived.
+  call.m_deadline = FindDeadline(call, &route);
+  call.m_objective = route.m_objective > Millis(0)
+                         ? call.m_arrival + route.m_objective
+                         : call.m_deadline;
   call.m_fingerprint = ComputeDigest(
       {head.m_method, call.m_metadata.m_host, head.m_path, call.m_body,
        m_context.m_settings.m_target.m_service.value()});
@@ -136,19 +139,29 @@
   return std::nullopt;
 }
 
+// The time that the caller and the route allow, from the arrival of the head.
+Millis RequestRouter::FindDeadline(const RoutedCall& call,
+                                   const Route* route) const {
+  const CallerLimits& limits = m_context.m_settings.m_limits;
+  Millis time_left =
+      Min(call.m_metadata.m_time_left.value_or(limits.m_default_deadline),
+          limits.m_max_deadline);
+  if (route != nullptr && route->m_timeout > Millis(0)) {
+    time_left = Min(time_left, route->m_timeout);
+  }
+  return call.m_arrival + time_left;
+}
+
 // Buffers the whole body, so that the request can be sent to another target
 // when the first one did not run it.
 std::optional<Refusal> RequestRouter::ReadWholeBody(RoutedCall& call,
-                                                    HttpExchange& exchange) {
+                                                    HttpExchange& exchange,
+                                                    Millis until) {
   bool is_over_limit = false;
   while (true) {
-    const auto bytes = exchange.ReadBody();
+    const auto bytes = exchange.ReadBody(until);
     if (!bytes) {
-      if (exchange.body_too_large()) {
-        return MakeSignalRefusal(Reason::kBodyTooLarge, {"body_bytes", 0, 0});
-      }
-      call.m_has_caller_left = true;
-      return std::nullopt;
+      return HandleBodyError(call, exchange);
     }
     if (bytes->empty()) {
       break;
@@ -171,6 +184,23 @@
   return std::nullopt;
 }
 
+std::optional<Refusal> RequestRouter::HandleBodyError(
+    RoutedCall& call,
+    const HttpExchange& exchange) {
+  switch (exchange.body_error()) {
+    case BodyError::kTooLarge:
+      return MakeSignalRefusal(Reason::kBodyTooLarge, {"body_bytes", 0, 0});
+    case BodyError::kTimedOut:
+      return MakeSignalRefusal(
+          Reason::kBodyTimeout,
+          {"body_bytes", static_cast<double>(call.m_body.size()),
+           static_cast<double>(exchange.head().m_content_length.value_or(0))});
+    default:
+      call.m_has_caller_left = true;
+      return std::nullopt;
+  }
+}
+
 void RequestRouter::RelayResponse(RoutedCall& call,
                                   const ResponseStart& response,
                                   HttpExchange& exchange) {
--- a/src/hemlockpoint/relay/request_router.h
+++ b/src/hemlockpoint/relay/request_router.h
@@ -71,8 +71,12 @@
   };
 
   std::optional<Refusal> Prepare(RoutedCall& call, HttpExchange& exchange);
+  Millis FindDeadline(const RoutedCall& call, const Route* route) const;
   std::optional<Refusal> ReadWholeBody(RoutedCall& call,
-                                       HttpExchange& exchange);
+                                       HttpExchange& exchange,
+                                       Millis until);
+  static std::optional<Refusal> HandleBodyError(RoutedCall& call,
+                                                const HttpExchange& exchange);
   std::optional<Refusal> CheckTimeUntilStop(const RoutedCall& call) const;
   std::optional<Refusal> RunAttempts(RoutedCall& call, HttpExchange& exchange);
   AttemptResult TryTarget(RoutedCall& call, const NodeId& node);
--- a/src/hemlockpoint/runtime/await.h
+++ b/src/hemlockpoint/runtime/await.h
@@ -4,6 +4,11 @@
 #include <boost/fiber/context.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstddef>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "hemlockpoint/runtime/fiber_event.h"
 
 namespace hemlockpoint {
 
@@ -38,6 +43,44 @@
   return result;
 }
 
+/// @brief An operation whose result a fiber awaits for a limited time.
+struct PendingIo {
+  /// Set once the handler of the operation has run.
+  std::optional<IoResult> m_result;
+  /// The fiber no longer waits.
+  bool m_is_abandoned = false;
+  FiberEvent m_changed;
+
+  void Abandon() {
+    m_is_abandoned = true;
+    m_changed.Notify();
+  }
+};
+
+/// @brief As AwaitIo(), but waits for a limited time. The operation is not
+/// cancelled, so what it uses has to be kept by `owner`.
+/// @param until Time as of SteadyNow().
+/// @param owner Kept until the handler has run.
+/// @param start Starts the operation, as for AwaitIo().
+/// @return The arguments of the completion handler; nullopt if it has not run
+/// at `until`, or when the operation was abandoned.
+template <typename Start>
+[[nodiscard]] std::optional<IoResult> AwaitIoUntil(
+    Millis until,
+    std::shared_ptr<void> owner,
+    Start&& start,
+    const std::shared_ptr<PendingIo>& pending = std::make_shared<PendingIo>()) {
+  start([pending, owner = std::move(owner)](boost::system::error_code error,
+                                            std::size_t bytes = 0) {
+    pending->m_result = {error, bytes};
+    pending->m_changed.Notify();
+  });
+  (void)pending->m_changed.WaitUntil(until, [&pending] {
+    return pending->m_result || pending->m_is_abandoned;
+  });
+  return pending->m_result;
+}
+
 }  // namespace hemlockpoint
 
 #endif  // HEMLOCKPOINT_RUNTIME_AWAIT_H_
--- a/test/hemlockpoint/http/server_test.cc
+++ b/test/hemlockpoint/http/server_test.cc
@@ -25,6 +25,7 @@
 // Tests run as processes of their own at the same time, so each takes a free
 // port.
 const Endpoint kServerEndpoint = FreeEndpoint("127.0.89.1");
+constexpr Millis kBodyTimeout(30'000);
 
 // Sends bytes on one connection and returns all bytes received until the server
 // closes it.
@@ -378,9 +379,9 @@
   std::string paths;
   HttpServer server(loop, HttpServerLimits(), [&](HttpExchange& exchange) {
     paths += exchange.head().m_path;
-    auto bytes = exchange.ReadBody();
+    auto bytes = exchange.ReadBody(SteadyNow() + kBodyTimeout);
     while (bytes && !bytes->empty()) {
-      bytes = exchange.ReadBody();
+      bytes = exchange.ReadBody(SteadyNow() + kBodyTimeout);
     }
     if (exchange.head().m_path == "/first") {
       SleepFor(kTimeToReadOn);
@@ -406,6 +407,56 @@
   EXPECT_EQ(CountOccurrences(responses, "Connection: close"), 1U) << responses;
 }
 
+// Guards against an upload whose reading goes on after its response.
+TEST(HttpServer, AResponseBeforeTheEndOfAnUploadArrives) {
+  FiberLoop loop;
+  BodyError error = BodyError::kNone;
+  HttpServer server(loop, HttpServerLimits(), [&](HttpExchange& exchange) {
+    bool is_reading = true;
+    FiberEvent changed;
+    loop.Spawn([&] {
+      auto bytes = exchange.ReadBody(SteadyNow() + kBodyTimeout);
+      while (bytes && !bytes->empty()) {
+        bytes = exchange.ReadBody(SteadyNow() + kBodyTimeout);
+      }
+      is_reading = false;
+      changed.Notify();
+    });
+    HttpResponseHead head;
+    head.m_status = 503;
+    (void)exchange.Respond(head, "refused");
+    exchange.StopReadingBody();
+    changed.Wait([&] { return !is_reading; });
+    error = exchange.body_error();
+  });
+  ASSERT_FALSE(server.Listen(kServerEndpoint));
+  std::atomic<bool> is_done{false};
+  std::string response;
+  boost::system::error_code end;
+  std::thread client([&] {
+    asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect({asio::ip::make_address(kServerEndpoint.m_address),
+                    kServerEndpoint.m_port});
+    asio::write(socket,
+                asio::buffer(std::string("POST /upload HTTP/1.1\r\nHost: a\r\n"
+                                         "Content-Length: 1000000\r\n\r\n")));
+    const std::string part(std::size_t{64} * 1024, 'b');
+    for (int i = 0; i < 10; ++i) {
+      asio::write(socket, asio::buffer(part), end);
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    asio::read(socket, asio::dynamic_buffer(response), end);
+    is_done = true;
+  });
+  RunUntil(is_done, loop, server);
+  client.join();
+  EXPECT_EQ(error, BodyError::kStopped);
+  EXPECT_EQ(end, asio::error::eof);
+  EXPECT_EQ(CountOccurrences(response, "HTTP/1.1 503"), 1U) << response;
+  EXPECT_EQ(CountOccurrences(response, "refused"), 1U) << response;
+}
+
 class EndlessChunkOfAClient : public ::testing::TestWithParam<const char*> {};
 
 // Guards against a client that makes the server buffer bytes which are no part
@@ -416,9 +467,9 @@
   FiberLoop loop;
   bool is_body_read = true;
   HttpServer server(loop, HttpServerLimits(), [&](HttpExchange& exchange) {
-    auto bytes = exchange.ReadBody();
+    auto bytes = exchange.ReadBody(SteadyNow() + kBodyTimeout);
     while (bytes && !bytes->empty()) {
-      bytes = exchange.ReadBody();
+      bytes = exchange.ReadBody(SteadyNow() + kBodyTimeout);
     }
     is_body_read = bytes.has_value();
   });
--- a/test/platform/each_way.h
+++ b/test/platform/each_way.h
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKPOINT_TEST_PLATFORM_EACH_WAY_H_
 #define HEMLOCKPOINT_TEST_PLATFORM_EACH_WAY_H_
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -50,16 +51,33 @@
   std::vector<ClientView> FetchEach(const ScriptedTarget::Serve& serve,
                                     const std::vector<std::string>& clients) {
     std::vector<ClientView> views;
+    RunEach(serve, [&](const Endpoint& node) { views = Fetch(clients, node); });
+    return views;
+  }
+
+  /// @brief Runs `body` with the node that serves clients in the way of the
+  /// test.
+  void RunEach(const ScriptedTarget::Serve& serve,
+               const std::function<void(const Endpoint&)>& body) {
     Run(serve, [&] {
       if (!GetParam().m_is_at_target_node) {
-        views = Fetch(clients);
+        body(m_http_endpoint);
         return;
       }
       ASSERT_FALSE(m_target_http.Listen(m_target_http_endpoint));
-      views = Fetch(clients, m_target_http_endpoint);
+      body(m_target_http_endpoint);
       m_target_http.Drain();
     });
-    return views;
+  }
+
+  void SetHttpLimits(const HttpServerLimits& limits) {
+    m_http.SetLimits(limits);
+    m_target_http.SetLimits(limits);
+  }
+
+  /// @return The state of the node that serves clients.
+  RelayContext& EntryContext() {
+    return GetParam().m_is_at_target_node ? m_target_context : m_entry_context;
   }
 
  private:
--- a/testing/fake_target/fake_target.cc
+++ b/testing/fake_target/fake_target.cc
@@ -19,6 +19,7 @@
 
 constexpr Millis kAnnouncePeriod(500);
 constexpr Millis kConnectTimeout(500);
+constexpr Millis kBodyTimeout(60'000);
 constexpr double kColdSlowdownFactor = 4;
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
@@ -123,8 +124,9 @@
   }
 
   static bool ReadWholeBody(HttpExchange& exchange, std::string& body) {
+    const Millis until = SteadyNow() + kBodyTimeout;
     while (true) {
-      const auto bytes = exchange.ReadBody();
+      const auto bytes = exchange.ReadBody(until);
       if (!bytes) {
         return false;
       }
