Refuse an upload for lack of memory before it is sent

What callers saw: a refusal for lack of memory, which is known from the stated length, arrived only after the whole upload had been sent.

Cause: the entry went on reading, and dropping, a body that it had already decided to refuse, so that the connection could be used again.

Change: the stated length is checked before the first read, and each part before it is held; the refusal goes out at once, without 100 Continue, and the connection closes after the bounded reading of what still arrives.

--- a/src/hemlockpoint/relay/request_router.cc
+++ b/src/hemlockpoint/relay/request_router.cc
@@ -157,31 +157,38 @@
 std::optional<Refusal> RequestRouter::ReadWholeBody(RoutedCall& call,
                                                     HttpExchange& exchange,
                                                     Millis until) {
-  bool is_over_limit = false;
+  if (auto refusal =
+          CheckBodyMemory(exchange.head().m_content_length.value_or(0))) {
+    return refusal;
+  }
   while (true) {
     const auto bytes = exchange.ReadBody(until);
     if (!bytes) {
       return HandleBodyError(call, exchange);
     }
     if (bytes->empty()) {
-      break;
+      return std::nullopt;
     }
-    is_over_limit =
-        is_over_limit || m_context.m_body_bytes + bytes->size() >
-                             m_context.m_settings.m_max_body_memory_bytes;
-    if (!is_over_limit) {
-      call.m_body += *bytes;
-      m_context.m_body_bytes += bytes->size();
+    if (auto refusal = CheckBodyMemory(bytes->size())) {
+      return refusal;
     }
+    call.m_body += *bytes;
+    m_context.m_body_bytes += bytes->size();
   }
-  if (is_over_limit) {
-    return MakeRefusal(
-        Reason::kNodeOverloaded,
-        {"body_bytes", static_cast<double>(m_context.m_body_bytes),
-         static_cast<double>(m_context.m_settings.m_max_body_memory_bytes)},
-        kRetryWithoutMemory);
+}
+
+std::optional<Refusal> RequestRouter::CheckBodyMemory(
+    std::uint64_t bytes) const {
+  const std::size_t limit = m_context.m_settings.m_max_body_memory_bytes;
+  const std::size_t held = m_context.m_body_bytes;
+  if (bytes <= limit && held <= limit - bytes) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return MakeRefusal(
+      Reason::kNodeOverloaded,
+      {"body_bytes", static_cast<double>(held) + static_cast<double>(bytes),
+       static_cast<double>(limit)},
+      kRetryWithoutMemory);
 }
 
 std::optional<Refusal> RequestRouter::HandleBodyError(
--- a/src/hemlockpoint/relay/request_router.h
+++ b/src/hemlockpoint/relay/request_router.h
@@ -75,6 +75,7 @@
   std::optional<Refusal> ReadWholeBody(RoutedCall& call,
                                        HttpExchange& exchange,
                                        Millis until);
+  std::optional<Refusal> CheckBodyMemory(std::uint64_t bytes) const;
   static std::optional<Refusal> HandleBodyError(RoutedCall& call,
                                                 const HttpExchange& exchange);
   std::optional<Refusal> CheckTimeUntilStop(const RoutedCall& call) const;
--- a/test/platform/slow_uploads_test.cc
+++ b/test/platform/slow_uploads_test.cc
@@ -211,6 +211,40 @@
   EXPECT_TRUE(other.Has("200 OK")) << other.m_response;
 }
 
+// Guards against a refusal that waits for the body that it refuses.
+TEST_P(SlowUploads, AreRefusedForMemoryBeforeTheyAreSent) {
+  EntryContext().m_settings.m_max_body_memory_bytes = kPart.size() * 4;
+  const std::string length =
+      "Content-Length: " + std::to_string(kStatedBytes) + "\r\n";
+  std::vector<Upload> uploads = {{Head("u1", length), ""},
+                                 {Head("u2", length) + kPart, kPart}};
+  if (IsHttp11()) {
+    uploads.push_back({Head("u3", length + "Expect: 100-continue\r\n"), ""});
+    std::string chunks;
+    for (int i = 0; i < 5; ++i) {
+      chunks += Chunk(kPart);
+    }
+    uploads.push_back(
+        {Head("u4", "Transfer-Encoding: chunked\r\n") + chunks, ""});
+  }
+  std::vector<UploadView> views;
+  std::size_t held = 0;
+  RunEach([](tcp::socket& socket,
+             const std::string& id) { Write(socket, Answer(id, "answer")); },
+          [&](const Endpoint& node) {
+            views = SendAll(uploads, node);
+            held = EntryContext().m_body_bytes;
+          });
+  EXPECT_EQ(held, 0U);
+  for (const UploadView& view : views) {
+    EXPECT_EQ(view.m_response.substr(0, 12), "HTTP/1.1 503") << view.m_response;
+    EXPECT_TRUE(view.Has("Retry-After: ")) << view.m_response;
+    EXPECT_LT(view.m_answered_after, kSlack);
+    EXPECT_LT(view.m_ended_after, kGiveUp);
+    EXPECT_EQ(view.m_error, asio::error::eof);
+  }
+}
+
 // Guards against a server that waits without end for a client that neither
 // sends nor leaves, where the deadline is far away.
 TEST_P(SlowUploads, OfSilentClientsEndBeforeTheirDeadline) {
